--- /dev/null
+++ b/packages/core/src/configuration/document-store.ts
@@ -0,0 +1,128 @@
+/**
+ * The published documents that this daemon holds. The version of a document only rises: an older
+ * publication, from a stale service or a peer that was cut off, is never taken, and one that
+ * fails its checks leaves the last good one in force.
+ */
+import type { Checked, Fault } from '../lists/index.js';
+import { checkLists, checkVmList } from '../lists/index.js';
+import type { Lists, VmList } from '../lists/index.js';
+import { Table } from '../tables/index.js';
+
+export const DOCUMENT_NAMES = ['lists', 'vm-list'] as const;
+
+export type DocumentName = (typeof DOCUMENT_NAMES)[number];
+
+/** One publication of a document: its JSON text and the version that the text carries. */
+export type PublishedDocument = {
+  readonly id: DocumentName;
+  readonly version: number;
+  readonly text: string;
+};
+
+export type DocumentVersion = {
+  readonly id: DocumentName;
+  readonly version: number;
+};
+
+export type OfferResult =
+  | { readonly kind: 'accepted'; readonly version: number }
+  | { readonly kind: 'not-newer'; readonly version: number }
+  | { readonly kind: 'refused'; readonly faults: readonly Fault[] };
+
+type Versioned = { readonly version: number };
+
+const NOT_JSON_LIMIT = 60;
+
+function parseText(text: string): Checked<unknown> {
+  try {
+    return { ok: true, value: JSON.parse(text) };
+  } catch (error) {
+    const allowed = `JSON (${(error as Error).message})`;
+    return {
+      ok: false,
+      faults: [{ field: '(root)', value: text.slice(0, NOT_JSON_LIMIT), allowed }],
+    };
+  }
+}
+
+function checkText<Value>(text: string, check: (value: unknown) => Checked<Value>): Checked<Value> {
+  const parsed = parseText(text);
+  return parsed.ok ? check(parsed.value) : parsed;
+}
+
+export class DocumentStore {
+  readonly #documents = new Table<PublishedDocument>();
+
+  #lists: Lists | undefined;
+
+  #vmList: VmList | undefined;
+
+  #refusedCount = 0;
+
+  get lists(): Lists | undefined {
+    return this.#lists;
+  }
+
+  get vmList(): VmList | undefined {
+    return this.#vmList;
+  }
+
+  /** Publications that failed their checks since the start. */
+  get refusedCount(): number {
+    return this.#refusedCount;
+  }
+
+  /** Grows with every accepted document. */
+  get revision(): number {
+    return this.#documents.revision;
+  }
+
+  get(name: DocumentName): PublishedDocument | undefined {
+    return this.#documents.get(name);
+  }
+
+  getVersion(name: DocumentName): number {
+    return this.#documents.get(name)?.version ?? 0;
+  }
+
+  listVersions(): readonly DocumentVersion[] {
+    return this.#documents.list().map(({ id, version }) => ({ id, version }));
+  }
+
+  /** Whether both documents are there, so that requests can be served. */
+  isComplete(): boolean {
+    return this.#lists !== undefined && this.#vmList !== undefined;
+  }
+
+  /** Takes a publication if it passes its checks and is newer than the one in force. */
+  offer(name: DocumentName, text: string): OfferResult {
+    return name === 'lists' ? this.#offerLists(text) : this.#offerVmList(text);
+  }
+
+  #offerLists(text: string): OfferResult {
+    const checked = checkText(text, checkLists);
+    if (!checked.ok) return this.#refuse(checked.faults);
+    const result = this.#accept('lists', text, checked.value);
+    if (result.kind === 'accepted') this.#lists = checked.value;
+    return result;
+  }
+
+  #offerVmList(text: string): OfferResult {
+    const checked = checkText(text, checkVmList);
+    if (!checked.ok) return this.#refuse(checked.faults);
+    const result = this.#accept('vm-list', text, checked.value);
+    if (result.kind === 'accepted') this.#vmList = checked.value;
+    return result;
+  }
+
+  #refuse(faults: readonly Fault[]): OfferResult {
+    this.#refusedCount += 1;
+    return { kind: 'refused', faults };
+  }
+
+  #accept(id: DocumentName, text: string, { version }: Versioned): OfferResult {
+    if (version <= this.getVersion(id)) return { kind: 'not-newer', version };
+    this.#documents.put({ id, version, text });
+    return { kind: 'accepted', version };
+  }
+}
--- /dev/null
+++ b/packages/core/src/configuration/index.ts
@@ -0,0 +1,17 @@
+export { DOCUMENT_NAMES, DocumentStore } from './document-store.js';
+export type {
+  DocumentName,
+  DocumentVersion,
+  OfferResult,
+  PublishedDocument,
+} from './document-store.js';
+export { chooseReaders, drawFallbackDelayMs } from './choose-readers.js';
+export {
+  BrokenDocumentError,
+  buildManifest,
+  joinParts,
+  MAX_VALUE_BYTES,
+  parseManifest,
+  splitDocument,
+} from './parts.js';
+export type { DocumentPart, PartReference } from './parts.js';
--- /dev/null
+++ b/packages/core/src/entry-points/index.ts
@@ -0,0 +1,2 @@
+export { chooseEntries } from './choose-entries.js';
+export type { Entry, EntryQuery } from './choose-entries.js';
--- /dev/null
+++ b/packages/core/src/lists/index.ts
@@ -0,0 +1,16 @@
+export { checkLists, checkShape, checkVmList, formatFault, listFaults } from './check-lists.js';
+export type { Checked, Fault } from './check-lists.js';
+export { listsSchema, vmListSchema } from './schemas.js';
+export { listServicePolicies } from './service-policies.js';
+export type {
+  Customer,
+  EntryVm,
+  KindRule,
+  Lists,
+  Plan,
+  ServicePolicy,
+  ServiceRule,
+  Upstream,
+  VmList,
+  VmState,
+} from './types.js';
--- /dev/null
+++ b/packages/core/src/platform/random.ts
@@ -0,0 +1,32 @@
+/**
+ * Seeded randomness for decisions, and the small draws that decisions share.
+ */
+import prand from 'pure-rand';
+
+import type { RandomSource } from './types.js';
+
+const UINT32_RANGE = 2 ** 32;
+
+/** Creates a generator that repeats the same sequence for the same seed (a 32-bit integer). */
+export function createRandom(seed: number): RandomSource {
+  const generator = prand.xoroshiro128plus(Math.trunc(seed));
+  return { next: () => (generator.unsafeNext() >>> 0) / UINT32_RANGE };
+}
+
+/** Chooses one item with equal chance; undefined for an empty list. */
+export function chooseOne<Item>(random: RandomSource, items: readonly Item[]): Item | undefined {
+  return items[Math.floor(random.next() * items.length)];
+}
+
+/** Chooses up to `count` distinct items in random order. */
+export function chooseSome<Item>(
+  random: RandomSource,
+  items: readonly Item[],
+  count: number,
+): readonly Item[] {
+  return items
+    .map((item) => ({ item, draw: random.next() }))
+    .sort((left, right) => left.draw - right.draw)
+    .slice(0, count)
+    .map(({ item }) => item);
+}
--- /dev/null
+++ b/packages/core/src/requests/admit-request.ts
@@ -0,0 +1,48 @@
+/**
+ * Checks a request against its customer's plan.
+ */
+import type { Customer, KindRule, Lists, Plan, ServiceRule } from '../lists/index.js';
+import { createRefusal } from '../results/index.js';
+import type { RequestHead } from './parse-request.js';
+
+/** What the plan says about one request. */
+export type Admission = {
+  readonly customer: Customer;
+  readonly plan: Plan;
+  readonly service: ServiceRule;
+  readonly kind: KindRule;
+  readonly repeatable: boolean;
+};
+
+/** The lists as looked up by each request. */
+export class PlanIndex {
+  readonly #customers: ReadonlyMap<string, Customer>;
+
+  readonly #plans: ReadonlyMap<string, Plan>;
+
+  readonly #services: ReadonlySet<string>;
+
+  constructor(lists: Lists) {
+    this.#customers = new Map(lists.customers.map((customer) => [customer.id, customer]));
+    this.#plans = new Map(lists.plans.map((plan) => [plan.id, plan]));
+    this.#services = new Set(lists.plans.flatMap((plan) => plan.services.map(({ name }) => name)));
+  }
+
+  findPlan(customerId: string): Plan | undefined {
+    const customer = this.#customers.get(customerId);
+    return customer && this.#plans.get(customer.plan);
+  }
+
+  /** Admits a request or throws a refusal. */
+  admit(head: RequestHead, bodyBytes: number): Admission {
+    if (!this.#services.has(head.service)) throw createRefusal('unknownService');
+    const customer = this.#customers.get(head.customer);
+    if (!customer) throw createRefusal('unknownCustomer');
+    const plan = this.#plans.get(customer.plan) as Plan;
+    const service = plan.services.find(({ name }) => name === head.service);
+    const kind = service?.kinds.find(({ name }) => name === head.kind);
+    if (!service || !kind) throw createRefusal('kindNotInPlan');
+    if (bodyBytes > service.maxBodyBytes) throw createRefusal('bodyTooLarge');
+    return { customer, plan, service, kind, repeatable: kind.repeatable ?? head.repeatable };
+  }
+}
--- /dev/null
+++ b/packages/core/src/retries/attempt.ts
@@ -0,0 +1,71 @@
+/**
+ * What can be claimed about one attempt to run a request at an upstream. This is the only place
+ * that decides between `not-run` and `unknown`: an attempt is unrun only while no byte of it was
+ * written, or when the upstream itself said that it did not run it.
+ */
+import { BaseError, RESULT_CODES } from '../results/index.js';
+import type { ResultName } from '../results/index.js';
+
+/** `unsent`: no byte written. `sent`: at least one byte may have been written. */
+export type OpenAttempt = 'unsent' | 'sent';
+
+export type AttemptEnd =
+  { readonly kind: 'answered' } | { readonly kind: 'failed'; readonly result: ResultName };
+
+export type AttemptState = OpenAttempt | AttemptEnd;
+
+export type AttemptEvent =
+  | 'write-started'
+  | 'answer-whole'
+  | 'answer-invalid'
+  | 'refused-unrun'
+  | 'connection-lost'
+  | 'deadline-reached'
+  | 'caller-gone';
+
+export class AttemptError extends BaseError {}
+
+const ANSWERED: AttemptEnd = { kind: 'answered' };
+
+function buildFailure(result: ResultName): AttemptEnd {
+  return { kind: 'failed', result };
+}
+
+const TRANSITIONS: Readonly<
+  Record<OpenAttempt, Readonly<Partial<Record<AttemptEvent, AttemptState>>>>
+> = {
+  unsent: {
+    'write-started': 'sent',
+    'connection-lost': buildFailure('noUpstream'),
+    'deadline-reached': buildFailure('deadlinePassed'),
+    'caller-gone': buildFailure('deadlinePassed'),
+  },
+  sent: {
+    'answer-whole': ANSWERED,
+    'answer-invalid': buildFailure('answerInvalid'),
+    'refused-unrun': buildFailure('upstreamsShed'),
+    'connection-lost': buildFailure('upstreamLost'),
+    'deadline-reached': buildFailure('deadlineReached'),
+    'caller-gone': buildFailure('callerGone'),
+  },
+};
+
+/** Whether the attempt is over. */
+export function isEnded(state: AttemptState): state is AttemptEnd {
+  return typeof state === 'object';
+}
+
+/** Computes the next state. Throws AttemptError where the event cannot happen. */
+export function computeNextState(state: AttemptState, event: AttemptEvent): AttemptState {
+  if (isEnded(state)) throw new AttemptError(`An ended attempt cannot see ${event}`);
+  const next = TRANSITIONS[state][event];
+  if (next === undefined) throw new AttemptError(`An attempt that is ${state} cannot see ${event}`);
+  return next;
+}
+
+/** Whether another attempt may be made after this end. */
+export function canTryAgain(end: AttemptEnd, repeatable: boolean): boolean {
+  if (end.kind === 'answered') return false;
+  if (end.result === 'deadlineReached' || end.result === 'callerGone') return false;
+  return repeatable || RESULT_CODES[end.result].outcome === 'not-run';
+}
--- /dev/null
+++ b/packages/core/src/retries/index.ts
@@ -0,0 +1,4 @@
+export { AttemptError, canTryAgain, computeNextState, isEnded } from './attempt.js';
+export type { AttemptEnd, AttemptEvent, AttemptState, OpenAttempt } from './attempt.js';
+export { DEFAULT_RETRY_BUDGET_SETTINGS, RetryBudget } from './retry-budget.js';
+export type { RetryBudgetSettings } from './retry-budget.js';
--- /dev/null
+++ b/packages/core/src/routing/index.ts
@@ -0,0 +1,17 @@
+export {
+  assignSlots,
+  chooseOwners,
+  chooseSpread,
+  computeOwnerCount,
+  listSlots,
+} from './choose-owners.js';
+export { SlotPool } from './slot-pool.js';
+export type { GrantHandler, SlotGrant, SlotPoolPorts } from './slot-pool.js';
+export type {
+  PassedOver,
+  Placeable,
+  Slot,
+  SlotAssignment,
+  Ticket,
+  UpstreamStanding,
+} from './types.js';
--- /dev/null
+++ b/packages/core/src/routing/slot-pool.ts
@@ -0,0 +1,196 @@
+/**
+ * The slots of one service that this daemon owns, which of them are in use, and who waits for
+ * the next. It grants a slot at once, makes the request wait, or says why neither is possible.
+ */
+import { chooseOne } from '../platform/index.js';
+import type { Clock, RandomSource } from '../platform/index.js';
+import type { PassedOver, Slot, Ticket, UpstreamStanding } from './types.js';
+import { WaitQueue } from './wait-queue.js';
+
+export type SlotGrant = {
+  readonly slot: Slot;
+  /** Upstreams that were not chosen, gathered only when asked for. */
+  readonly listPassedOver: () => readonly PassedOver[];
+};
+
+export type GrantHandler = {
+  readonly onGrant: (grant: SlotGrant) => void;
+  readonly onExpired: () => void;
+  readonly onDropped: () => void;
+};
+
+export type SlotPoolPorts = {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly getStanding: (upstreamId: string) => UpstreamStanding;
+};
+
+const STANDING_RANK: Readonly<Record<UpstreamStanding, number>> = {
+  trial: 0,
+  healthy: 1,
+  doubtful: 2,
+  barred: Number.POSITIVE_INFINITY,
+};
+
+const MAX_WAITING_PER_SERVICE = 256;
+const SERVICE_TIME_SMOOTHING = 0.05;
+const INITIAL_SERVICE_TIME_MS = 50;
+
+export class SlotPool {
+  readonly #ports: SlotPoolPorts;
+
+  #slots: readonly Slot[] = [];
+
+  readonly #busy = new Map<string, Slot>();
+
+  readonly #queue = new WaitQueue<GrantHandler>(MAX_WAITING_PER_SERVICE);
+
+  #meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
+
+  constructor(ports: SlotPoolPorts) {
+    this.#ports = ports;
+  }
+
+  /** Slots that this daemon owns now. Requests in slots it lost run to their end. */
+  setSlots(slots: readonly Slot[]): void {
+    this.#slots = slots;
+    this.runTick();
+  }
+
+  get slotCount(): number {
+    return this.#slots.length;
+  }
+
+  get busyCount(): number {
+    return this.#busy.size;
+  }
+
+  isBusy(slotId: string): boolean {
+    return this.#busy.has(slotId);
+  }
+
+  get waitingCount(): number {
+    return this.#queue.length;
+  }
+
+  /** Slots that could take a request now. */
+  countFree(): number {
+    return this.#slots.filter((slot) => this.#isFree(slot) && this.#rankSlot(slot) < 2).length;
+  }
+
+  hasUsableSlots(): boolean {
+    return this.#slots.some((slot) => Number.isFinite(this.#rankSlot(slot)));
+  }
+
+  isFull(): boolean {
+    return this.#queue.isFull();
+  }
+
+  /** Milliseconds that a request arriving now is expected to wait. */
+  computeExpectedWaitMs(): number {
+    const usable = this.#slots.filter((slot) => Number.isFinite(this.#rankSlot(slot))).length;
+    if (usable === 0) return Number.POSITIVE_INFINITY;
+    return ((this.#queue.length + 1) * this.#meanServiceTimeMs) / usable;
+  }
+
+  get meanServiceTimeMs(): number {
+    return this.#meanServiceTimeMs;
+  }
+
+  /** Grants a free slot at once, unless others wait for one. */
+  acquire(ticket: Ticket): SlotGrant | undefined {
+    if (this.#queue.length > 0) return undefined;
+    const grant = this.#grant(ticket);
+    if (grant) this.#queue.recordServed(ticket);
+    return grant;
+  }
+
+  /** Makes a request wait; the handler is called once. */
+  wait(ticket: Ticket, handler: GrantHandler): void {
+    this.#queue.add({ ticket, payload: handler });
+    this.runTick();
+  }
+
+  removeWaiting(requestId: string): boolean {
+    return this.#queue.remove(requestId);
+  }
+
+  /** Frees a slot and grants it to whoever goes next. */
+  release(slot: Slot, serviceTimeMs?: number): void {
+    this.#busy.delete(slot.id);
+    if (serviceTimeMs !== undefined) this.#recordServiceTime(serviceTimeMs);
+    this.#grantNext();
+  }
+
+  /** Expires what waited too long and grants slots that have become usable. */
+  runTick(): void {
+    this.#queue.takeExpired(this.#ports.clock.now()).forEach(({ payload }) => payload.onExpired());
+    this.#slots.filter((slot) => this.#isFree(slot)).forEach(() => this.#grantNext());
+  }
+
+  /** Drops everything that waits, as after a pause of the process. */
+  dropWaiting(): void {
+    this.#queue.takeAll().forEach(({ payload }) => payload.onDropped());
+  }
+
+  #grantNext(): void {
+    if (this.#queue.length === 0) return;
+    const now = this.#ports.clock.now();
+    const next = this.#queue.takeNext(
+      (ticket) => ticket.deadline > now && this.#listCandidates(ticket).length > 0,
+    );
+    if (!next) return;
+    const grant = this.#grant(next.ticket);
+    if (grant) next.payload.onGrant(grant);
+  }
+
+  #grant(ticket: Ticket): SlotGrant | undefined {
+    const candidates = this.#listCandidates(ticket);
+    if (candidates.length === 0) return undefined;
+    const bestRank = Math.min(...candidates.map((slot) => this.#rankSlot(slot)));
+    const best = candidates.filter((slot) => this.#rankSlot(slot) === bestRank);
+    const slot = chooseOne(this.#ports.random, best) as Slot;
+    this.#busy.set(slot.id, slot);
+    return { slot, listPassedOver: () => this.#listPassedOver(ticket, slot) };
+  }
+
+  #isFree(slot: Slot): boolean {
+    return !this.#busy.has(slot.id);
+  }
+
+  #rankSlot(slot: Slot): number {
+    return STANDING_RANK[this.#ports.getStanding(slot.upstreamId)];
+  }
+
+  #listCandidates(ticket: Ticket): readonly Slot[] {
+    return this.#slots.filter(
+      (slot) =>
+        this.#isFree(slot) &&
+        !ticket.excludedUpstreams.includes(slot.upstreamId) &&
+        this.#mayServe(slot, ticket),
+    );
+  }
+
+  #mayServe(slot: Slot, ticket: Ticket): boolean {
+    const standing = this.#ports.getStanding(slot.upstreamId);
+    if (standing === 'barred') return false;
+    return standing !== 'trial' || ticket.repeatable;
+  }
+
+  #listPassedOver(ticket: Ticket, chosen: Slot): readonly PassedOver[] {
+    return this.#slots
+      .filter((slot) => slot.upstreamId !== chosen.upstreamId)
+      .map((slot) => ({ upstreamId: slot.upstreamId, reason: this.#explain(slot, ticket) }));
+  }
+
+  #explain(slot: Slot, ticket: Ticket): PassedOver['reason'] {
+    if (ticket.excludedUpstreams.includes(slot.upstreamId)) return 'excluded';
+    if (!this.#mayServe(slot, ticket)) return 'barred';
+    if (!this.#isFree(slot)) return 'busy';
+    return 'ranked-lower';
+  }
+
+  #recordServiceTime(serviceTimeMs: number): void {
+    this.#meanServiceTimeMs += (serviceTimeMs - this.#meanServiceTimeMs) * SERVICE_TIME_SMOOTHING;
+  }
+}
--- /dev/null
+++ b/packages/core/src/tables/index.ts
@@ -0,0 +1,2 @@
+export { Table } from './table.js';
+export type { Row } from './table.js';
--- /dev/null
+++ b/packages/daemon/src/callers/app.ts
@@ -0,0 +1,202 @@
+/**
+ * The listener for callers: entry answers, and requests to services.
+ */
+import { buildProblem, createRefusal, parseRequest, toRequestError } from '@baobabline/core';
+import type { RequestError } from '@baobabline/core';
+import fastify from 'fastify';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { randomUUID } from 'node:crypto';
+import type { Socket } from 'node:net';
+
+import type { DecisionLog } from '../decisions/index.js';
+import type { EntryAnswers } from '../entries/index.js';
+import type { Metrics } from '../metrics/metrics.js';
+import { buildAnswerHeaders, REFUSED_HEADER } from '../requests/index.js';
+import type { Answer, Arrival, RequestPath } from '../requests/index.js';
+import type { Settings } from '../settings/index.js';
+
+export type CallerPorts = {
+  readonly settings: Settings;
+  readonly path: RequestPath;
+  readonly entries: EntryAnswers;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+};
+
+type EntriesQuery = {
+  readonly customer?: string;
+  readonly service?: string;
+  readonly dataCentre?: string;
+};
+
+const PROBLEM_TYPE = 'application/problem+json';
+const MS_PER_SECOND = 1000;
+const KEEP_ALIVE_MS = 60_000;
+
+/** Builds what the request path needs of an HTTP request; the signal fires if the caller goes. */
+export function buildArrival(request: FastifyRequest, reply: FastifyReply, url: string): Arrival {
+  const controller = new AbortController();
+  reply.raw.once('close', () => {
+    if (!reply.raw.writableEnded) controller.abort();
+  });
+  return {
+    raw: { method: request.method, url, headers: request.headers },
+    body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
+    cancelled: controller.signal,
+  };
+}
+
+export function sendAnswer(reply: FastifyReply, answer: Answer, requestId: string): FastifyReply {
+  return reply
+    .code(answer.status)
+    .headers(buildAnswerHeaders(answer.headers))
+    .header('x-request-id', requestId)
+    .send(answer.body);
+}
+
+export function sendRefusal(
+  reply: FastifyReply,
+  error: RequestError,
+  requestId: string,
+): FastifyReply {
+  if (error.retryAfterSeconds !== undefined) {
+    reply.header('retry-after', String(Math.ceil(error.retryAfterSeconds)));
+  }
+  return reply
+    .code(error.result.status)
+    .header('content-type', PROBLEM_TYPE)
+    .header('x-request-id', requestId)
+    .header(REFUSED_HEADER, String(error.result.code))
+    .send(JSON.stringify(buildProblem(error, requestId)));
+}
+
+/** Answers bytes that are no HTTP request. */
+function refuseMalformed(_error: Error, socket: Socket): void {
+  if (!socket.writable) return;
+  const refusal = createRefusal('malformedRequest');
+  const body = JSON.stringify(buildProblem(refusal, 'none'));
+  socket.end(
+    `HTTP/1.1 ${refusal.result.status} Bad Request\r\nContent-Type: ${PROBLEM_TYPE}\r\n` +
+      `${REFUSED_HEADER}: ${refusal.result.code}\r\nConnection: close\r\n` +
+      `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
+
+/** Takes every body as bytes: a proxy does not look inside. */
+export function acceptAnyBody(app: FastifyInstance): void {
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+    done(null, body);
+  });
+}
+
+function toRefusal(error: Error & { readonly code?: string }): RequestError {
+  if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') return createRefusal('bodyTooLarge');
+  if (error.code?.startsWith('FST_ERR') === true) {
+    return createRefusal('malformedRequest', { detail: error.message });
+  }
+  return toRequestError(error);
+}
+
+/** Creates the fastify instance that callers and peers alike are served by. */
+export function createHttpApp(settings: Settings, isPublic: boolean): FastifyInstance {
+  const tls = isPublic && settings.tls;
+  const options = {
+    bodyLimit: settings.maxBodyBytes,
+    clientErrorHandler: refuseMalformed,
+    forceCloseConnections: true,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+  };
+  const app = tls
+    ? (fastify({
+        ...options,
+        https: { cert: tls.certificate, key: tls.privateKey },
+      }) as unknown as FastifyInstance)
+    : fastify(options);
+  app.setErrorHandler((error: Error, request, reply) => {
+    const requestId = String(request.headers['x-request-id'] ?? 'none');
+    return sendRefusal(reply, toRefusal(error), requestId);
+  });
+  return app;
+}
+
+class CallerHandlers {
+  readonly #ports: CallerPorts;
+
+  constructor(ports: CallerPorts) {
+    this.#ports = ports;
+  }
+
+  handleEntries(query: EntriesQuery, reply: FastifyReply): FastifyReply {
+    const { customer = 'unknown', service, dataCentre } = query;
+    const answer = this.#ports.entries.answer({ customer, service, dataCentre });
+    return reply.header('cache-control', `max-age=${answer.holdSeconds}`).send(answer);
+  }
+
+  async handleRequest(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+    const arrivedAt = performance.now();
+    const arrival = buildArrival(request, reply, request.url);
+    const service = request.url.split(/[/?]/, 2)[1] ?? '';
+    try {
+      const head = parseRequest(arrival.raw, randomUUID);
+      return await this.#serve(arrival, head, reply, arrivedAt);
+    } catch (error) {
+      const requestId = String(request.headers['x-request-id'] ?? 'none');
+      return this.#refuse(reply, toRequestError(error), requestId, service, arrivedAt);
+    }
+  }
+
+  async #serve(
+    arrival: Arrival,
+    head: ReturnType<typeof parseRequest>,
+    reply: FastifyReply,
+    arrivedAt: number,
+  ): Promise<FastifyReply> {
+    try {
+      const answer = await this.#ports.path.handleCaller(arrival, head);
+      this.#measure(head.service, 0, arrivedAt);
+      return sendAnswer(reply, answer, head.requestId);
+    } catch (error) {
+      const refusal = toRequestError(error);
+      return this.#refuse(reply, refusal, head.requestId, head.service, arrivedAt);
+    }
+  }
+
+  #refuse(
+    reply: FastifyReply,
+    refusal: RequestError,
+    requestId: string,
+    service: string,
+    arrivedAt: number,
+  ): FastifyReply {
+    const { code, name } = refusal.result;
+    const isKnown = name !== 'unknown-service' && name !== 'malformed-request';
+    this.#measure(isKnown ? service : 'none', code, arrivedAt);
+    this.#ports.decisions.record({
+      requestId,
+      service: isKnown ? service : 'none',
+      step: 'refused',
+      timeLeftMs: 0,
+      code,
+      detail: refusal.message,
+    });
+    return sendRefusal(reply, refusal, requestId);
+  }
+
+  #measure(service: string, code: number, arrivedAt: number): void {
+    const seconds = (performance.now() - arrivedAt) / MS_PER_SECOND;
+    this.#ports.metrics.recordRequest(service, code, seconds);
+  }
+}
+
+/** Creates the callers' listener. */
+export function createCallerApp(ports: CallerPorts): FastifyInstance {
+  const app = createHttpApp(ports.settings, true);
+  const handlers = new CallerHandlers(ports);
+  acceptAnyBody(app);
+  app.get<{ Querystring: EntriesQuery }>('/entries', (request, reply) =>
+    handlers.handleEntries(request.query, reply),
+  );
+  app.all('/*', (request, reply) => handlers.handleRequest(request, reply));
+  return app;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,481 @@
+/**
+ * Puts a daemon together: it listens, fills the tables from what it hears, runs the systems each
+ * tick, and carries out what they decide.
+ */
+import {
+  CrashReports,
+  createRefusal,
+  DEFAULT_KEY_LEDGER_SETTINGS,
+  DEFAULT_MEMBERSHIP_SETTINGS,
+  DocumentStore,
+  EvidencePool,
+  KeyLedger,
+  Membership,
+} from '@baobabline/core';
+import type { Member, Upstream } from '@baobabline/core';
+import type { FastifyInstance } from 'fastify';
+import type { AddressInfo } from 'node:net';
+
+import { createCallerApp } from './callers/app.js';
+import { DecisionLog } from './decisions/index.js';
+import { EntryAnswers } from './entries/index.js';
+import {
+  DocumentSync,
+  FleetView,
+  Gossip,
+  PauseWatch,
+  PeerLoads,
+  PeerReports,
+} from './fleet/index.js';
+import { PlanLimits } from './limits/plan-limits.js';
+import { Metrics } from './metrics/metrics.js';
+import { createOperatorApp } from './operators/app.js';
+import type { Phase } from './operators/status.js';
+import { PeerClient } from './peers/index.js';
+import { createPeerApp } from './peers/server.js';
+import { createProcessRandom, systemClock } from './platform/clock.js';
+import { KeyValueClient } from './platform/key-value-client.js';
+import { createLog } from './platform/log.js';
+import type { Log } from './platform/log.js';
+import { CrashWatch, HandOn, RequestPath } from './requests/index.js';
+import type { Answer } from './requests/index.js';
+import { checkConnects, ServiceState, UpstreamReachability } from './services/index.js';
+import type { Endpoint, Settings } from './settings/index.js';
+
+const REQUEST_TICK_MS = 20;
+const SYSTEM_TICK_MS = 100;
+const GOSSIP_MS = 200;
+const STOP_POLL_MS = 50;
+const ANNOUNCE_TO = 4;
+const MS_PER_SECOND = 1000;
+
+export type DaemonPorts = {
+  readonly callers: number;
+  readonly peers: number;
+  readonly operators: number;
+};
+
+function getPort(app: FastifyInstance): number {
+  return (app.server.address() as AddressInfo).port;
+}
+
+async function wait(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
+
+export class Daemon {
+  readonly #settings: Settings;
+
+  readonly #clock = systemClock;
+
+  readonly #random = createProcessRandom();
+
+  readonly #log: Log;
+
+  readonly #documents = new DocumentStore();
+
+  readonly #services = new Map<string, ServiceState>();
+
+  readonly #client: PeerClient;
+
+  readonly #reachability: UpstreamReachability;
+
+  readonly #crashReports: CrashReports;
+
+  readonly #evidence: EvidencePool;
+
+  readonly #decisions: DecisionLog;
+
+  readonly #handOn: HandOn;
+
+  readonly #pauseWatch: PauseWatch;
+
+  readonly #kvClients: Readonly<Record<'lists' | 'vm-list', KeyValueClient>>;
+
+  #phase: Phase = 'joining';
+
+  #timers: readonly NodeJS.Timeout[] = [];
+
+  #apps: readonly FastifyInstance[] = [];
+
+  #view!: FleetView;
+
+  #path!: RequestPath;
+
+  #gossip!: Gossip;
+
+  #sync!: DocumentSync;
+
+  #reports!: PeerReports;
+
+  #limits!: PlanLimits;
+
+  #ledger!: KeyLedger<Answer>;
+
+  #metrics!: Metrics;
+
+  #loads!: PeerLoads;
+
+  constructor(settings: Settings) {
+    this.#settings = settings;
+    this.#log = createLog(settings, this.#random);
+    this.#decisions = new DecisionLog(this.#log);
+    this.#client = new PeerClient((endpoint) => this.#findEndpoint(endpoint));
+    this.#reachability = new UpstreamReachability(this.#clock);
+    this.#crashReports = new CrashReports(this.#clock);
+    this.#evidence = new EvidencePool(this.#clock);
+    this.#pauseWatch = new PauseWatch(this.#clock);
+    this.#handOn = new HandOn({
+      clock: this.#clock,
+      maxHeldBytes: settings.maxHeldAnswerBytes,
+      findEndpoint: (endpoint) => this.#findEndpoint(endpoint),
+    });
+    this.#kvClients = {
+      lists: new KeyValueClient(settings.configurationService),
+      'vm-list': new KeyValueClient(settings.vmListService),
+    };
+  }
+
+  get phase(): Phase {
+    return this.#phase;
+  }
+
+  /** Listens, joins the fleet, and resolves once requests are served. */
+  async start(): Promise<DaemonPorts> {
+    const ports = await this.#listen();
+    this.#log.info('listening', { ports });
+    this.#startTimers();
+    await this.#join();
+    this.#log.info('serving', { members: this.#view.membership.members.size });
+    return ports;
+  }
+
+  /** Stops without cutting a request: out of the entry answers first, then out of work. */
+  async stop(): Promise<void> {
+    if (this.#phase === 'leaving' || this.#phase === 'stopped') return;
+    this.#phase = 'leaving';
+    const startedAt = this.#clock.now();
+    this.#log.info('leaving');
+    this.#view.membership.setOwnState('leaving');
+    await this.#gossip.announce(ANNOUNCE_TO);
+    await this.#waitUntilIdle(startedAt);
+    this.#view.membership.setOwnState('left');
+    await this.#gossip.announce(ANNOUNCE_TO);
+    this.#phase = 'stopped';
+    await this.#close();
+    this.#log.info('stopped', { seconds: (this.#clock.now() - startedAt) / MS_PER_SECOND });
+  }
+
+  /** Entry answers that name this daemon hold for a while; it serves until they lapse. */
+  async #waitUntilIdle(startedAt: number): Promise<void> {
+    const { entryHoldSeconds, maxStopSeconds } = this.#settings;
+    const age = this.#clock.now() - startedAt;
+    const answersHold = age < (entryHoldSeconds + 1) * MS_PER_SECOND;
+    if (!answersHold && this.#path.inFlight === 0) return;
+    if (age >= maxStopSeconds * MS_PER_SECOND) return;
+    await wait(STOP_POLL_MS);
+    await this.#waitUntilIdle(startedAt);
+  }
+
+  async #close(): Promise<void> {
+    this.#timers.forEach((timer) => clearInterval(timer));
+    this.#sync.stop();
+    await Promise.all(this.#apps.map((app) => app.close()));
+    this.#services.forEach((service) => service.close());
+    await Promise.all([
+      this.#client.close(),
+      this.#handOn.close(),
+      this.#kvClients.lists.close(),
+      this.#kvClients['vm-list'].close(),
+    ]);
+  }
+
+  /** Ports may be chosen by the system, so peers are listened for before the view exists. */
+  async #listen(): Promise<DaemonPorts> {
+    const { callers, peers, operators } = this.#settings;
+    this.#buildParts();
+    const peerApp = await this.#createPeerApp();
+    const callerApp = createCallerApp({
+      settings: this.#settings,
+      path: this.#path,
+      entries: this.#createEntryAnswers(),
+      metrics: this.#metrics,
+      decisions: this.#decisions,
+    });
+    const operatorApp = this.#createOperatorApp();
+    this.#apps = [callerApp, peerApp, operatorApp];
+    await peerApp.listen({ host: peers.address, port: peers.port });
+    await callerApp.listen({ host: callers.address, port: callers.port });
+    await operatorApp.listen({ host: operators.address, port: operators.port });
+    this.#announcePorts(getPort(peerApp), getPort(callerApp));
+    return {
+      callers: getPort(callerApp),
+      peers: getPort(peerApp),
+      operators: getPort(operatorApp),
+    };
+  }
+
+  #announcePorts(peerPort: number, callerPort: number): void {
+    const { membership } = this.#view;
+    membership.members.put({ ...membership.self, peerPort, callerPort });
+  }
+
+  #buildParts(): void {
+    const clock = this.#clock;
+    const self = this.#createSelf();
+    const membership = new Membership(self, DEFAULT_MEMBERSHIP_SETTINGS, {
+      clock,
+      random: this.#random,
+    });
+    this.#view = new FleetView(membership, this.#documents);
+    this.#loads = new PeerLoads(clock);
+    this.#limits = new PlanLimits({ clock, view: this.#view, client: this.#client });
+    this.#ledger = new KeyLedger<Answer>(
+      { daemonId: self.id, incarnation: self.incarnation },
+      DEFAULT_KEY_LEDGER_SETTINGS,
+    );
+    this.#metrics = this.#createMetrics();
+    this.#path = this.#createRequestPath();
+    this.#sync = this.#createDocumentSync();
+    this.#gossip = this.#createGossip();
+    this.#reports = new PeerReports({
+      clock,
+      view: this.#view,
+      client: this.#client,
+      loads: this.#loads,
+      pool: this.#evidence,
+      crashReports: this.#crashReports,
+      listServices: () => this.#listServices(),
+    });
+  }
+
+  #createSelf(): Member {
+    const { id, dataCentre, peers } = this.#settings;
+    return {
+      id,
+      dataCentre,
+      address: peers.address,
+      peerPort: 0,
+      callerPort: 0,
+      incarnation: Date.now(),
+      version: 1,
+      state: 'joining',
+    };
+  }
+
+  #createRequestPath(): RequestPath {
+    return new RequestPath({
+      clock: this.#clock,
+      view: this.#view,
+      loads: this.#loads,
+      limits: this.#limits,
+      ledger: this.#ledger,
+      crashReports: this.#crashReports,
+      handOn: this.#handOn,
+      decisions: this.#decisions,
+      maxHeldBytes: this.#settings.maxHeldAnswerBytes,
+      findService: (name) => this.#services.get(name),
+      checkReady: () => this.#checkReady(),
+      recordDraining: (upstreamId) => this.#reachability.recordDraining(upstreamId),
+      crashWatch: new CrashWatch({
+        reports: this.#crashReports,
+        reachability: this.#reachability,
+        probe: checkConnects,
+        getEndpoint: (upstream) => this.#findEndpoint(upstream),
+      }),
+    });
+  }
+
+  #createGossip(): Gossip {
+    return new Gossip({
+      membership: this.#view.membership,
+      documents: this.#documents,
+      client: this.#client,
+      random: this.#random,
+      seeds: this.#settings.seeds,
+      onNewerDocuments: (peer, versions) => this.#sync.handleNewer(peer, versions),
+      onHeard: () => this.#pauseWatch.recordHeard(),
+    });
+  }
+
+  #createDocumentSync(): DocumentSync {
+    return new DocumentSync({
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      membership: this.#view.membership,
+      documents: this.#documents,
+      client: this.#client,
+      services: this.#kvClients,
+      onAccepted: () => this.#refreshView(),
+    });
+  }
+
+  #createMetrics(): Metrics {
+    return new Metrics({
+      countMembers: (state) =>
+        this.#view.membership.members.list().filter((member) => member.state === state).length,
+      getDocumentVersion: (name) => this.#documents.getVersion(name),
+      countRefusedDocuments: () => this.#documents.refusedCount,
+      countKeys: () => this.#ledger.size,
+      getControlBytes: () => this.#client.traffic.sent + this.#client.traffic.received,
+    });
+  }
+
+  #createEntryAnswers(): EntryAnswers {
+    const { entryHoldSeconds, keyLifeSeconds } = this.#settings;
+    return new EntryAnswers({
+      clock: this.#clock,
+      view: this.#view,
+      holdSeconds: entryHoldSeconds,
+      keyLifeSeconds,
+    });
+  }
+
+  async #createPeerApp(): Promise<FastifyInstance> {
+    return createPeerApp({
+      settings: this.#settings,
+      path: this.#path,
+      handlers: {
+        exchange: (message) => this.#gossip.handleExchange(message),
+        probe: (request) => this.#gossip.handleProbe(request),
+        fetchDocument: (request) => this.#sync.handleFetch(request),
+        report: (report) => this.#reports.handleReport(report),
+        lend: (request) => this.#limits.handleLend(request),
+      },
+    });
+  }
+
+  #createOperatorApp(): FastifyInstance {
+    const getPhase = (): Phase => this.#getPhase();
+    const { path, ledger } = { path: this.#path, ledger: this.#ledger };
+    return createOperatorApp({
+      metrics: this.#metrics,
+      decisions: this.#decisions,
+      entries: this.#createEntryAnswers(),
+      status: {
+        view: this.#view,
+        listServices: () => this.#listServices(),
+        listUnreachable: () => this.#reachability.listUnreachable(),
+        get phase() {
+          return getPhase();
+        },
+        get inFlight() {
+          return path.inFlight;
+        },
+        get keyCount() {
+          return ledger.size;
+        },
+      },
+    });
+  }
+
+  #getPhase(): Phase {
+    return this.#phase === 'serving' && this.#pauseWatch.isDoubting ? 'paused' : this.#phase;
+  }
+
+  /** Learns all it can from peers and the platform, and serves once both documents are there. */
+  async #join(): Promise<void> {
+    await Promise.all([this.#gossip.join(), this.#sync.readAll()]);
+    await this.#waitForDocuments();
+    this.#phase = 'serving';
+    this.#view.membership.setOwnState('serving');
+    this.#refreshView();
+    await this.#gossip.announce(ANNOUNCE_TO);
+  }
+
+  async #waitForDocuments(): Promise<void> {
+    if (this.#documents.isComplete()) return;
+    await wait(STOP_POLL_MS);
+    await this.#waitForDocuments();
+  }
+
+  #startTimers(): void {
+    const gossip = (): void => {
+      this.#gossip.runRound().catch(() => undefined);
+    };
+    this.#timers = [
+      setInterval(() => this.#runRequestTick(), REQUEST_TICK_MS),
+      setInterval(() => this.#runSystemTick(), SYSTEM_TICK_MS),
+      setInterval(gossip, GOSSIP_MS),
+    ];
+  }
+
+  #runRequestTick(): void {
+    if (this.#pauseWatch.recordTick()) this.#handlePause();
+    this.#path.runTick();
+    this.#services.forEach((service) => service.pool.runTick());
+  }
+
+  #runSystemTick(): void {
+    this.#refreshView();
+    this.#sync.runTick();
+    this.#reachability.runTick();
+    this.#evidence.runTick();
+    this.#crashReports.runTick();
+    this.#limits.runTick();
+    this.#ledger.runTick(this.#clock.now());
+    this.#services.forEach((service) => this.#runDetection(service));
+    this.#reports.runTick();
+  }
+
+  #runDetection(service: ServiceState): void {
+    const changes = service.runDetection(this.#evidence.listFor(service.name));
+    changes.forEach(({ upstreamId, change, verdict }) => {
+      this.#metrics.recordEjectionChange(service.name, change);
+      this.#log.info('ejection', { service: service.name, upstream: upstreamId, change, verdict });
+    });
+  }
+
+  #handlePause(): void {
+    this.#log.warn('paused');
+    this.#metrics.recordPause();
+    this.#services.forEach((service) => service.pool.dropWaiting());
+  }
+
+  #checkReady(): void {
+    if (this.#phase === 'joining' || !this.#documents.isComplete()) {
+      throw createRefusal('notReady', { retryAfterSeconds: 1 });
+    }
+    if (this.#pauseWatch.isLate() || this.#pauseWatch.isDoubting) throw createRefusal('paused');
+    if (this.#phase === 'stopped') throw createRefusal('stopping');
+  }
+
+  /** Brings the services that this daemon dispatches in line with the view. */
+  #refreshView(): void {
+    if (!this.#view.refresh()) return;
+    this.#view.services.list().forEach((row) => {
+      const known = this.#services.get(row.id);
+      if (!known && row.ownSlots.length === 0) return;
+      const service = known ?? this.#createService(row.policy);
+      service.applyPlacement(row);
+    });
+  }
+
+  #createService(policy: ConstructorParameters<typeof ServiceState>[0]): ServiceState {
+    const service = new ServiceState(policy, {
+      clock: this.#clock,
+      random: this.#random,
+      reachability: this.#reachability,
+      getOrigin: (upstream: Upstream) => {
+        const { address, port } = this.#findEndpoint(upstream);
+        return `http://${address}:${port}`;
+      },
+    });
+    this.#services.set(policy.name, service);
+    return service;
+  }
+
+  #listServices(): readonly ServiceState[] {
+    return [...this.#services.values()].filter(({ pool }) => pool.slotCount > 0);
+  }
+
+  #findEndpoint({ address, port }: Endpoint): Endpoint {
+    const override = this.#settings.connectOverrides.find(
+      ({ from }) => from.address === address && from.port === port,
+    );
+    return override?.to ?? { address, port };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entries/entry-answers.ts
@@ -0,0 +1,61 @@
+/**
+ * Answers callers that ask which addresses to use, and issues the start of idempotency keys.
+ */
+import { chooseEntries, createRefusal, formatKeyPrefix, hashText } from '@baobabline/core';
+import type { Clock, Entry, EntryQuery } from '@baobabline/core';
+
+import type { FleetView } from '../fleet/index.js';
+
+export type EntryAnswer = {
+  /** Addresses in the order in which they should be tried. */
+  readonly entries: readonly Entry[];
+  /** Seconds for which the answer may be kept. */
+  readonly holdSeconds: number;
+  /** Start of an idempotency key; the caller appends 8 to 64 of A-Z a-z 0-9 _ - */
+  readonly keyPrefix: string;
+  /** Seconds for which keys with this start may be used. */
+  readonly keyLifeSeconds: number;
+};
+
+export type EntryAnswersPorts = {
+  readonly clock: Clock;
+  readonly view: FleetView;
+  readonly holdSeconds: number;
+  readonly keyLifeSeconds: number;
+};
+
+export type ServiceEntryQuery = EntryQuery & { readonly service?: string | undefined };
+
+const MS_PER_SECOND = 1000;
+
+export class EntryAnswers {
+  readonly #ports: EntryAnswersPorts;
+
+  constructor(ports: EntryAnswersPorts) {
+    this.#ports = ports;
+  }
+
+  answer(query: ServiceEntryQuery): EntryAnswer {
+    const { clock, view, holdSeconds, keyLifeSeconds } = this.#ports;
+    const { self } = view.membership;
+    const service = query.service === undefined ? undefined : view.services.get(query.service);
+    if (query.service !== undefined && !service) throw createRefusal('unknownService');
+    const expiresAt = clock.now() + keyLifeSeconds * MS_PER_SECOND;
+    return {
+      entries: this.#choose(query, service?.owners.map(({ id }) => id) ?? []),
+      holdSeconds,
+      keyPrefix: formatKeyPrefix({
+        daemonId: self.id,
+        incarnation: self.incarnation,
+        expiresAt,
+      }),
+      keyLifeSeconds,
+    };
+  }
+
+  #choose(query: EntryQuery, ownerIds: readonly string[]): readonly Entry[] {
+    const serving = this.#ports.view.membership.listServing();
+    const owners = serving.filter(({ id }) => ownerIds.includes(id));
+    return chooseEntries(query, owners, serving, hashText);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entries/index.ts
@@ -0,0 +1,2 @@
+export { EntryAnswers } from './entry-answers.js';
+export type { EntryAnswer, ServiceEntryQuery } from './entry-answers.js';
--- /dev/null
+++ b/packages/daemon/src/fleet/gossip.ts
@@ -0,0 +1,151 @@
+/**
+ * Keeps the membership current: one exchange with a peer each round, probes through helpers when
+ * a peer does not answer, and now and then a word with the seeds and with members believed dead,
+ * so that a healed partition is noticed.
+ */
+import { chooseOne } from '@baobabline/core';
+import type {
+  DocumentStore,
+  DocumentVersion,
+  Member,
+  Membership,
+  RandomSource,
+} from '@baobabline/core';
+
+import type { ExchangeAnswer, ExchangeMessage, ProbeRequest } from '../peers/messages.js';
+import type { PeerClient } from '../peers/peer-client.js';
+import type { Endpoint } from '../settings/index.js';
+
+export type GossipPorts = {
+  readonly membership: Membership;
+  readonly documents: DocumentStore;
+  readonly client: PeerClient;
+  readonly random: RandomSource;
+  readonly seeds: readonly Endpoint[];
+  /** Called when a peer holds newer publications than this daemon. */
+  readonly onNewerDocuments: (peer: Endpoint, versions: readonly DocumentVersion[]) => void;
+  /** Called after each exchange that was answered. */
+  readonly onHeard: () => void;
+};
+
+const HELPERS = 2;
+const ROUNDS_BETWEEN_SEEDS = 10;
+
+function toEndpoint(member: Member): Endpoint {
+  return { address: member.address, port: member.peerPort };
+}
+
+export class Gossip {
+  readonly #ports: GossipPorts;
+
+  #round = 0;
+
+  constructor(ports: GossipPorts) {
+    this.#ports = ports;
+  }
+
+  /** Runs one round; failures are noted in the membership, never thrown. */
+  async runRound(): Promise<void> {
+    this.#round += 1;
+    this.#ports.membership.runTick();
+    const peer = this.#ports.membership.chooseExchangePeer();
+    const seedRound = this.#round % ROUNDS_BETWEEN_SEEDS === 0;
+    await Promise.all([
+      peer ? this.#exchangeOrSuspect(peer) : this.#exchangeWithSeed(),
+      seedRound ? this.#exchangeWithLost() : undefined,
+    ]);
+  }
+
+  /** Asks seeds for all they know; resolves with whether any answered. */
+  async join(): Promise<boolean> {
+    const answers = await Promise.all(
+      this.#ports.seeds.map((seed) => this.#tryExchange(seed, true)),
+    );
+    return answers.some(Boolean);
+  }
+
+  /** Tells some peers at once, as of leaving. */
+  async announce(count: number): Promise<void> {
+    const { membership } = this.#ports;
+    const peers = membership.chooseHelpers(membership.self.id, count);
+    await Promise.all(peers.map((peer) => this.#tryExchange(toEndpoint(peer), false)));
+  }
+
+  /** Answers a peer's exchange. */
+  handleExchange(message: ExchangeMessage): ExchangeAnswer {
+    this.#applyMessage(message);
+    const { membership } = this.#ports;
+    const updates = message.wantsAll ? membership.members.list() : membership.buildUpdates();
+    return this.#buildAnswer(updates);
+  }
+
+  /** Probes a member for a peer that could not reach it. */
+  async handleProbe(request: ProbeRequest): Promise<boolean> {
+    return this.#tryExchange(request, false);
+  }
+
+  #buildAnswer(updates: readonly Member[]): ExchangeAnswer {
+    return {
+      from: this.#ports.membership.self,
+      updates: [...updates],
+      versions: [...this.#ports.documents.listVersions()],
+    };
+  }
+
+  async #exchangeOrSuspect(peer: Member): Promise<void> {
+    const reached = await this.#tryExchange(toEndpoint(peer), false);
+    if (reached) {
+      this.#ports.membership.recordHeard(peer.id);
+      return;
+    }
+    const reachedByOthers = await this.#probeThroughHelpers(peer);
+    if (reachedByOthers) this.#ports.membership.recordBrokenLink(peer.id);
+    else this.#ports.membership.recordUnreachable(peer.id);
+  }
+
+  async #probeThroughHelpers(peer: Member): Promise<boolean> {
+    const helpers = this.#ports.membership.chooseHelpers(peer.id, HELPERS);
+    const results = await Promise.all(
+      helpers.map((helper) =>
+        this.#ports.client
+          .connect(toEndpoint(helper))
+          .probe.mutate(toEndpoint(peer))
+          .catch(() => false),
+      ),
+    );
+    return results.some(Boolean);
+  }
+
+  async #exchangeWithSeed(): Promise<void> {
+    const seed = chooseOne(this.#ports.random, this.#ports.seeds);
+    if (seed) await this.#tryExchange(seed, true);
+  }
+
+  async #exchangeWithLost(): Promise<void> {
+    const lost = this.#ports.membership.chooseLostMember();
+    await (lost ? this.#tryExchange(toEndpoint(lost), true) : this.#exchangeWithSeed());
+  }
+
+  async #tryExchange(target: Endpoint, wantsAll: boolean): Promise<boolean> {
+    const { client, membership, onHeard } = this.#ports;
+    try {
+      const answer = await client.connect(target).exchange.mutate({
+        ...this.#buildAnswer(membership.buildUpdates()),
+        wantsAll,
+      });
+      this.#applyMessage(answer);
+      if (answer.from.id !== membership.self.id) onHeard();
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  #applyMessage({ from, updates, versions }: ExchangeAnswer): void {
+    const { membership, documents, onNewerDocuments } = this.#ports;
+    membership.applyUpdates([from, ...updates]);
+    membership.recordHeard(from.id);
+    const newer = versions.filter(({ id, version }) => version > documents.getVersion(id));
+    if (newer.length > 0) onNewerDocuments(toEndpoint(from), newer);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/limits/plan-limits.ts
@@ -0,0 +1,103 @@
+/**
+ * Holds each customer to its plan's rate across the fleet: spends what was borrowed, borrows from
+ * the customer's lender, and falls back to this daemon's share of the roster when the lender is
+ * out of reach.
+ */
+import {
+  AllowanceLender,
+  BorrowedAllowances,
+  chooseSpread,
+  computeLoanSize,
+  createRefusal,
+  hashText,
+} from '@baobabline/core';
+import type { BucketRate, Clock, Loan, Member, Plan } from '@baobabline/core';
+
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { LoanRequest } from '../peers/messages.js';
+import type { PeerClient } from '../peers/peer-client.js';
+
+export type PlanLimitsPorts = {
+  readonly clock: Clock;
+  readonly view: FleetView;
+  readonly client: PeerClient;
+};
+
+const NO_LOAN: Loan = { granted: 0, retryAfterSeconds: 1 };
+
+export class PlanLimits {
+  readonly #ports: PlanLimitsPorts;
+
+  readonly #lender = new AllowanceLender();
+
+  readonly #borrowed = new BorrowedAllowances();
+
+  constructor(ports: PlanLimitsPorts) {
+    this.#ports = ports;
+  }
+
+  get customerCount(): number {
+    return this.#lender.size;
+  }
+
+  /** Takes the weight of one request or throws `over-plan-rate`. */
+  async take(customer: string, plan: Plan, weight: number): Promise<void> {
+    const { clock } = this.#ports;
+    if (this.#borrowed.spend(customer, weight, clock.now())) return;
+    const request = { customer, needed: weight, wanted: computeLoanSize(weight, plan) };
+    const loan = await this.#borrow(request, plan);
+    if (loan.granted < weight) {
+      const retryAfterSeconds = Math.max(1, Math.ceil(loan.retryAfterSeconds));
+      throw createRefusal('overPlanRate', { retryAfterSeconds });
+    }
+    this.#borrowed.add(customer, loan.granted, clock.now());
+    this.#borrowed.spend(customer, weight, clock.now());
+  }
+
+  /** Lends to a peer. */
+  handleLend(request: LoanRequest): Loan {
+    const plan = this.#ports.view.plans?.findPlan(request.customer);
+    return plan ? this.#lendHere(request, plan, this.#computeVisibleShare()) : NO_LOAN;
+  }
+
+  runTick(): void {
+    const now = this.#ports.clock.now();
+    this.#lender.runTick(now);
+    this.#borrowed.runTick(now);
+  }
+
+  async #borrow(request: LoanRequest, plan: Plan): Promise<Loan> {
+    const { view, client } = this.#ports;
+    const lender = this.#chooseLender(request.customer);
+    if (!lender || lender.id === view.membership.self.id) {
+      return this.#lendHere(request, plan, this.#computeVisibleShare());
+    }
+    try {
+      const peer = { address: lender.address, port: lender.peerPort };
+      return await client.connect(peer).lend.mutate(request);
+    } catch {
+      return this.#lendHere(request, plan, 1 / this.#countRoster());
+    }
+  }
+
+  #chooseLender(customer: string): Member | undefined {
+    const serving = this.#ports.view.membership.listServing();
+    return chooseSpread(`lender|${customer}`, serving, 1, hashText)[0];
+  }
+
+  #lendHere(request: LoanRequest, rate: BucketRate, share: number): Loan {
+    const { customer, needed, wanted } = request;
+    return this.#lender.lend(customer, rate, { needed, wanted, share }, this.#ports.clock.now());
+  }
+
+  /** The share of the roster that this daemon can see; below one in a partition. */
+  #computeVisibleShare(): number {
+    const visible = this.#ports.view.membership.listPresent().length;
+    return Math.min(1, visible / this.#countRoster());
+  }
+
+  #countRoster(): number {
+    const listed = this.#ports.view.documents.vmList?.entryVms.length ?? 0;
+    return Math.max(1, listed, this.#ports.view.membership.members.size);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/index.ts
@@ -0,0 +1,3 @@
+export { createPeerRouter } from './app.js';
+export type { PeerHandlers, PeerRouter } from './app.js';
+export { PeerClient } from './peer-client.js';
--- /dev/null
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -0,0 +1,89 @@
+/**
+ * Calls to other daemons. Requests go through undici's plain interface rather than `fetch`, which
+ * costs several times the processor time, and their bytes are counted.
+ */
+import { createTRPCClient, httpLink } from '@trpc/client';
+import type { TRPCClient } from '@trpc/client';
+import { LRUCache } from 'lru-cache';
+import { Agent, request as sendHttp } from 'undici';
+
+import type { Endpoint } from '../settings/index.js';
+import type { PeerRouter } from './app.js';
+
+/** Bytes of control messages, heads included as an estimate. */
+export type ControlTraffic = { readonly sent: number; readonly received: number };
+
+const CALL_TIMEOUT_MS = 700;
+const CONNECT_TIMEOUT_MS = 400;
+const KEEP_ALIVE_MS = 30_000;
+const KEPT_PEERS = 1024;
+export const HEAD_BYTES = 190;
+
+type FetchOptions = { readonly body?: unknown; readonly headers?: unknown };
+
+export class PeerClient {
+  readonly #agent = new Agent({
+    connections: 2,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+  });
+
+  readonly #clients = new LRUCache<string, TRPCClient<PeerRouter>>({ max: KEPT_PEERS });
+
+  readonly #findEndpoint: (endpoint: Endpoint) => Endpoint;
+
+  #traffic: ControlTraffic = { sent: 0, received: 0 };
+
+  /** `findEndpoint` says by which address a peer is reached. */
+  constructor(findEndpoint: (endpoint: Endpoint) => Endpoint) {
+    this.#findEndpoint = findEndpoint;
+  }
+
+  get traffic(): ControlTraffic {
+    return this.#traffic;
+  }
+
+  /** The typed client of the daemon at an address. */
+  connect(endpoint: Endpoint): TRPCClient<PeerRouter> {
+    const { address, port } = this.#findEndpoint(endpoint);
+    const origin = `http://${address}:${port}`;
+    const known = this.#clients.get(origin);
+    if (known) return known;
+    const client = createTRPCClient<PeerRouter>({
+      links: [
+        httpLink({
+          url: `${origin}/trpc`,
+          fetch: async (url, options) => this.#send(String(url), options ?? {}),
+        }),
+      ],
+    });
+    this.#clients.set(origin, client);
+    return client;
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(url: string, options: FetchOptions): Promise<Response> {
+    const body = String(options.body ?? '');
+    const response = await sendHttp(url, {
+      dispatcher: this.#agent,
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body,
+      headersTimeout: CALL_TIMEOUT_MS,
+      bodyTimeout: CALL_TIMEOUT_MS,
+    });
+    const text = await response.body.text();
+    this.#traffic = {
+      sent: this.#traffic.sent + body.length + HEAD_BYTES,
+      received: this.#traffic.received + text.length + HEAD_BYTES,
+    };
+    return {
+      ok: response.statusCode < 400,
+      status: response.statusCode,
+      json: async () => JSON.parse(text) as unknown,
+    } as unknown as Response;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/server.ts
@@ -0,0 +1,56 @@
+/**
+ * The listener for other daemons: trpc for control, plain HTTP for requests handed on.
+ */
+import { toRequestError } from '@baobabline/core';
+import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify';
+import type { FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+
+import {
+  acceptAnyBody,
+  buildArrival,
+  createHttpApp,
+  sendAnswer,
+  sendRefusal,
+} from '../callers/app.js';
+import type { Answer, Arrival, RequestPath } from '../requests/index.js';
+import type { Settings } from '../settings/index.js';
+import { createPeerRouter } from './app.js';
+import type { PeerHandlers, PeerRouter } from './app.js';
+
+export type PeerServerPorts = {
+  readonly settings: Settings;
+  readonly path: RequestPath;
+  readonly handlers: PeerHandlers;
+};
+
+type Handle = (arrival: Arrival) => Promise<Answer>;
+
+function registerRoute(app: FastifyInstance, route: string, handle: Handle): void {
+  const prefix = `/${route}`;
+  app.all(`${prefix}/*`, async (request: FastifyRequest, reply: FastifyReply) => {
+    const requestId = String(request.headers['x-request-id'] ?? 'none');
+    try {
+      const arrival = buildArrival(request, reply, request.url.slice(prefix.length));
+      return sendAnswer(reply, await handle(arrival), requestId);
+    } catch (error) {
+      return sendRefusal(reply, toRequestError(error), requestId);
+    }
+  });
+}
+
+/** Creates the peers' listener. */
+export async function createPeerApp(ports: PeerServerPorts): Promise<FastifyInstance> {
+  const { settings, path, handlers } = ports;
+  const app = createHttpApp(settings, false);
+  const options: FastifyTRPCPluginOptions<PeerRouter>['trpcOptions'] = {
+    router: createPeerRouter(handlers),
+  };
+  await app.register(fastifyTRPCPlugin, { prefix: '/trpc', trpcOptions: options });
+  await app.register(async (scope) => {
+    acceptAnyBody(scope);
+    registerRoute(scope, 'dispatch', (arrival) => path.handleDispatch(arrival));
+    registerRoute(scope, 'run', (arrival) => path.handleRun(arrival));
+  });
+  return app;
+}
--- /dev/null
+++ b/packages/daemon/src/requests/request-run.ts
@@ -0,0 +1,342 @@
+/**
+ * One request at the slots of this daemon, from waiting for a slot to the answer: attempts, one
+ * hedge for a repeatable request that stalls, and retries where they are safe and the budget
+ * allows them.
+ */
+import { canTryAgain, createRefusal, RequestError, RESULT_CODES } from '@baobabline/core';
+import type { Clock, Slot, SlotGrant, Ticket } from '@baobabline/core';
+
+import type { DecisionLog } from '../decisions/index.js';
+import type { ServiceState, UpstreamLink } from '../services/index.js';
+import { Attempt } from './attempt.js';
+import type { CrashWatch } from './crash-watch.js';
+import type { Answer, AttemptResult, Job } from './types.js';
+
+export type RunPorts = {
+  readonly clock: Clock;
+  readonly decisions: DecisionLog;
+  readonly crashWatch: CrashWatch;
+  readonly maxHeldBytes: number;
+  readonly recordDraining: (upstreamId: string) => void;
+};
+
+type RunningAttempt = {
+  readonly id: string;
+  readonly slot: Slot;
+  readonly link: UpstreamLink;
+  readonly attempt: Attempt;
+  readonly startedAt: number;
+};
+
+const MAX_ATTEMPTS = 4;
+const HEDGE_SURVIVAL = 0.02;
+const STALE_IDLE_MS = 1000;
+const SERVER_ERROR_STATUS = 500;
+const MS_PER_SECOND = 1000;
+
+function isServerError(answer: Answer): boolean {
+  return answer.status >= SERVER_ERROR_STATUS;
+}
+
+export class RequestRun {
+  /** Resolves with the answer or rejects with a RequestError. */
+  readonly outcome: Promise<Answer>;
+
+  readonly #job: Job;
+
+  readonly #service: ServiceState;
+
+  readonly #ports: RunPorts;
+
+  #running: readonly RunningAttempt[] = [];
+
+  #triedUpstreams: readonly string[] = [];
+
+  #attempts = 0;
+
+  #hedged = false;
+
+  #settled = false;
+
+  /** Set once an attempt ended without proof that it did not run. */
+  #unknownError: RequestError | undefined;
+
+  #serverErrorAnswer: Answer | undefined;
+
+  #resolve: (answer: Answer) => void = () => undefined;
+
+  #reject: (error: RequestError) => void = () => undefined;
+
+  constructor(job: Job, service: ServiceState, ports: RunPorts) {
+    this.#job = job;
+    this.#service = service;
+    this.#ports = ports;
+    this.outcome = new Promise((resolve, reject) => {
+      this.#resolve = resolve;
+      this.#reject = reject;
+    });
+  }
+
+  get isSettled(): boolean {
+    return this.#settled;
+  }
+
+  start(): void {
+    this.#job.cancelled.addEventListener('abort', () => this.cancel(), { once: true });
+    this.#takeSlot();
+  }
+
+  /** Gives up because the caller went away. */
+  cancel(): void {
+    if (this.#settled) return;
+    this.#service.pool.removeWaiting(this.#job.head.requestId);
+    const hasRun = this.#attempts > 0;
+    this.#running.forEach(({ attempt }) => attempt.abort('caller-gone'));
+    this.#fail(createRefusal(hasRun ? 'callerGone' : 'deadlinePassed'));
+  }
+
+  /** Ends attempts at the deadline and hedges a stalled one. */
+  runTick(now: number): void {
+    if (this.#settled) return;
+    if (now >= this.#job.deadline) {
+      this.#running.forEach(({ attempt }) => attempt.abort('deadline-reached'));
+      return;
+    }
+    this.#hedgeIfStalled(now);
+  }
+
+  get #timeLeft(): number {
+    return this.#job.deadline - this.#ports.clock.now();
+  }
+
+  #buildTicket(): Ticket {
+    const { head, share, weight, deadline, repeatable } = this.#job;
+    return {
+      requestId: head.requestId,
+      customer: head.customer,
+      share,
+      weight,
+      deadline,
+      repeatable,
+      excludedUpstreams: this.#triedUpstreams,
+    };
+  }
+
+  #takeSlot(): void {
+    const { pool } = this.#service;
+    const ticket = this.#buildTicket();
+    const grant = pool.acquire(ticket);
+    if (grant) {
+      this.#launch(grant);
+      return;
+    }
+    const refusal = this.#refuseEarly();
+    if (refusal) {
+      this.#fail(refusal);
+      return;
+    }
+    this.#record('waiting');
+    pool.wait(ticket, {
+      onGrant: (granted) => this.#launch(granted),
+      onExpired: () => this.#fail(createRefusal('noCapacity', { retryAfterSeconds: 1 })),
+      onDropped: () => this.#fail(createRefusal('paused')),
+    });
+  }
+
+  #refuseEarly(): RequestError | undefined {
+    const { pool } = this.#service;
+    if (!pool.hasUsableSlots()) return createRefusal('noUpstream', { retryAfterSeconds: 1 });
+    const waitMs = pool.computeExpectedWaitMs();
+    const retryAfterSeconds = Math.ceil(waitMs / MS_PER_SECOND);
+    if (pool.isFull()) return createRefusal('queueFull', { retryAfterSeconds });
+    if (waitMs + pool.meanServiceTimeMs <= this.#timeLeft) return undefined;
+    return createRefusal('noCapacity', { retryAfterSeconds });
+  }
+
+  #launch(grant: SlotGrant): void {
+    const { slot } = grant;
+    const now = this.#ports.clock.now();
+    if (this.#settled || now >= this.#job.deadline) {
+      this.#service.pool.release(slot);
+      this.#fail(createRefusal('deadlinePassed'));
+      return;
+    }
+    this.#attempts += 1;
+    this.#triedUpstreams = [...this.#triedUpstreams, slot.upstreamId];
+    const running = this.#startAttempt(slot, now);
+    this.#record('dispatched', {
+      upstream: slot.upstreamId,
+      slot: slot.id,
+      attempt: this.#attempts,
+      passedOver: grant.listPassedOver(),
+    });
+    this.#watch(running);
+  }
+
+  #startAttempt(slot: Slot, now: number): RunningAttempt {
+    const link = this.#service.getLink(slot);
+    link.replaceIfIdle(STALE_IDLE_MS, now);
+    const attempt = new Attempt(this.#job, {
+      dispatcher: link.client,
+      origin: link.origin,
+      path: this.#job.head.path,
+      maxHeldBytes: this.#ports.maxHeldBytes,
+    });
+    const id = `${this.#job.head.requestId}|${this.#attempts}|${slot.id}`;
+    const running = { id, slot, link, attempt, startedAt: now };
+    this.#running = [...this.#running, running];
+    this.#service.detector.recordStart({
+      id,
+      upstreamId: slot.upstreamId,
+      kind: this.#job.head.kind,
+      startedAt: now,
+      freshConnection: link.isFresh,
+    });
+    this.#service.ejections.recordTrial(slot.upstreamId, now);
+    attempt.start(this.#job.deadline - now);
+    return running;
+  }
+
+  #watch(running: RunningAttempt): void {
+    const { attempt, link, slot } = running;
+    attempt.released
+      .then((reusable) => {
+        const now = this.#ports.clock.now();
+        if (reusable) link.recordAnswer(now);
+        else link.replace();
+        this.#service.pool.release(slot, reusable ? now - running.startedAt : undefined);
+      })
+      .catch(() => undefined);
+    attempt.done.then((result) => this.#handleEnd(running, result)).catch(() => undefined);
+  }
+
+  #handleEnd(running: RunningAttempt, result: AttemptResult): void {
+    this.#running = this.#running.filter((other) => other !== running);
+    this.#learn(running, result);
+    if (this.#settled) return;
+    if (result.answer) this.#handleAnswer(result.answer, result);
+    else this.#handleFailure(result);
+  }
+
+  #handleAnswer(answer: Answer, result: AttemptResult): void {
+    if (isServerError(answer) && this.#job.repeatable) {
+      this.#serverErrorAnswer = answer;
+      this.#tryAgainOrFinish(result, true);
+      return;
+    }
+    this.#succeed(answer);
+  }
+
+  #handleFailure(result: AttemptResult): void {
+    if (result.end.kind !== 'failed') return;
+    const error = new RequestError(RESULT_CODES[result.end.result], { retryAfterSeconds: 1 });
+    if (error.result.outcome === 'unknown') this.#unknownError = error;
+    this.#tryAgainOrFinish(result, canTryAgain(result.end, this.#job.repeatable), error);
+  }
+
+  #tryAgainOrFinish(result: AttemptResult, safe: boolean, error?: RequestError): void {
+    if (this.#running.length > 0) return;
+    const connectFailed = result.end.kind === 'failed' && result.end.result === 'noUpstream';
+    const mayTry = safe && this.#attempts < MAX_ATTEMPTS && this.#timeLeft > 0;
+    if (mayTry && (connectFailed || this.#service.retryBudget.takeRetry())) {
+      this.#takeSlot();
+      return;
+    }
+    this.#fail(error ?? createRefusal('upstreamLost'));
+  }
+
+  #hedgeIfStalled(now: number): void {
+    const [only, ...others] = this.#running;
+    if (!only || others.length > 0 || this.#hedged || !this.#job.repeatable) return;
+    const { upstreamId } = only.slot;
+    const elapsed = now - only.startedAt;
+    const survival = this.#service.detector.computeSurvival(
+      upstreamId,
+      this.#job.head.kind,
+      elapsed,
+    );
+    if (survival === undefined || survival > HEDGE_SURVIVAL) return;
+    const grant = this.#service.pool.acquire(this.#buildTicket());
+    if (!grant) return;
+    if (!this.#service.retryBudget.takeRetry()) {
+      this.#service.pool.release(grant.slot);
+      return;
+    }
+    this.#hedged = true;
+    this.#launch(grant);
+  }
+
+  /** Tells detection what an attempt has shown about its upstream. */
+  #learn(running: RunningAttempt, result: AttemptResult): void {
+    const { id, slot } = running;
+    const now = this.#ports.clock.now();
+    const { detector } = this.#service;
+    if (result.draining) this.#ports.recordDraining(slot.upstreamId);
+    if (result.answer) {
+      const failed = isServerError(result.answer);
+      detector.recordEnd(id, failed ? 'failed' : 'completed', now);
+      if (!failed) this.#recordGoodAnswer(running, now);
+      return;
+    }
+    const name = result.end.kind === 'failed' ? result.end.result : undefined;
+    if (name === 'upstreamsShed') detector.forget(id);
+    else if (name === 'noUpstream' || name === 'upstreamLost') this.#learnFromLoss(running, name);
+    else detector.recordEnd(id, name === 'answerInvalid' ? 'failed' : 'abandoned', now);
+  }
+
+  #recordGoodAnswer({ slot, startedAt }: RunningAttempt, now: number): void {
+    const { detector, ejections, retryBudget } = this.#service;
+    retryBudget.recordSuccess();
+    const { kind } = this.#job.head;
+    const survival = detector.computeSurvival(slot.upstreamId, kind, now - startedAt);
+    if (survival === undefined || survival > HEDGE_SURVIVAL) {
+      ejections.recordGoodAnswer(slot.upstreamId);
+    }
+  }
+
+  #learnFromLoss({ id, slot }: RunningAttempt, name: 'noUpstream' | 'upstreamLost'): void {
+    const upstream = this.#service.getUpstream(slot.upstreamId);
+    const { detector } = this.#service;
+    if (!upstream) {
+      detector.forget(id);
+      return;
+    }
+    const { fingerprint } = this.#job;
+    const loss = { id, fingerprint: name === 'upstreamLost' ? fingerprint : undefined };
+    this.#ports.crashWatch
+      .investigate(upstream, loss)
+      .then((crashed) => {
+        if (crashed) detector.forget(id);
+        else detector.recordEnd(id, 'failed', this.#ports.clock.now());
+      })
+      .catch(() => undefined);
+  }
+
+  #succeed(answer: Answer): void {
+    this.#settled = true;
+    this.#running.forEach(({ attempt }) => attempt.abort('caller-gone'));
+    this.#resolve(answer);
+  }
+
+  /** Ends without an answer. Once an attempt may have run, nothing may claim `not-run`. */
+  #fail(error: RequestError): void {
+    if (this.#settled) return;
+    if (this.#running.length > 0) return;
+    this.#settled = true;
+    if (this.#serverErrorAnswer) this.#resolve(this.#serverErrorAnswer);
+    else this.#reject(this.#unknownError ?? error);
+  }
+
+  #record(
+    step: 'dispatched' | 'waiting',
+    details: Partial<Parameters<DecisionLog['record']>[0]> = {},
+  ): void {
+    this.#ports.decisions.record({
+      requestId: this.#job.head.requestId,
+      service: this.#service.name,
+      step,
+      timeLeftMs: Math.round(this.#timeLeft),
+      ...details,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/services/service-state.ts
@@ -0,0 +1,162 @@
+/**
+ * Everything a daemon keeps for one service that it dispatches: its slots with their connections,
+ * what it knows of the upstreams, and the retry budget.
+ */
+import {
+  computeThreshold,
+  Detector,
+  Ejections,
+  judgeUpstream,
+  RetryBudget,
+  SlotPool,
+} from '@baobabline/core';
+import type {
+  Clock,
+  EjectionChange,
+  Evidence,
+  RandomSource,
+  ServicePolicy,
+  Slot,
+  Upstream,
+  UpstreamScore,
+  UpstreamStanding,
+} from '@baobabline/core';
+
+import { UpstreamLink } from './upstream-link.js';
+import type { UpstreamReachability } from './upstream-reachability.js';
+
+export type ServicePorts = {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly reachability: UpstreamReachability;
+  /** The origin at which this daemon reaches an upstream. */
+  readonly getOrigin: (upstream: Upstream) => string;
+};
+
+export type Placement = {
+  readonly policy: ServicePolicy;
+  /** All upstreams of the service, leaving ones included. */
+  readonly upstreams: readonly Upstream[];
+  readonly ownSlots: readonly Slot[];
+};
+
+export class ServiceState {
+  readonly name: string;
+
+  readonly pool: SlotPool;
+
+  readonly detector = new Detector();
+
+  readonly ejections = new Ejections();
+
+  readonly retryBudget = new RetryBudget();
+
+  readonly #ports: ServicePorts;
+
+  readonly #links = new Map<string, UpstreamLink>();
+
+  #upstreams: ReadonlyMap<string, Upstream> = new Map();
+
+  #policy: ServicePolicy;
+
+  #scores: readonly UpstreamScore[] = [];
+
+  constructor(policy: ServicePolicy, ports: ServicePorts) {
+    this.name = policy.name;
+    this.#policy = policy;
+    this.#ports = ports;
+    this.pool = new SlotPool({
+      clock: ports.clock,
+      random: ports.random,
+      getStanding: (upstreamId) => this.getStanding(upstreamId),
+    });
+  }
+
+  get scores(): readonly UpstreamScore[] {
+    return this.#scores;
+  }
+
+  get policy(): ServicePolicy {
+    return this.#policy;
+  }
+
+  /** Takes in new lists or a new division of the slots. */
+  applyPlacement({ policy, upstreams, ownSlots }: Placement): void {
+    this.#policy = policy;
+    this.#upstreams = new Map(upstreams.map((upstream) => [upstream.id, upstream]));
+    this.detector.keepOnly(new Set(this.#upstreams.keys()));
+    this.#closeForeignLinks(new Set(ownSlots.map(({ id }) => id)));
+    this.pool.setSlots(ownSlots);
+  }
+
+  getUpstream(upstreamId: string): Upstream | undefined {
+    return this.#upstreams.get(upstreamId);
+  }
+
+  getStanding(upstreamId: string): UpstreamStanding {
+    if (!this.#isAvailable(this.#upstreams.get(upstreamId))) return 'barred';
+    return this.ejections.getStanding(upstreamId, this.#ports.clock.now());
+  }
+
+  getLink(slot: Slot): UpstreamLink {
+    const known = this.#links.get(slot.id);
+    if (known) return known;
+    const upstream = this.#upstreams.get(slot.upstreamId) as Upstream;
+    const link = new UpstreamLink(this.#ports.getOrigin(upstream));
+    this.#links.set(slot.id, link);
+    return link;
+  }
+
+  listAvailable(): readonly Upstream[] {
+    return [...this.#upstreams.values()].filter((upstream) => this.#isAvailable(upstream));
+  }
+
+  countConnections(): number {
+    return this.#links.size;
+  }
+
+  /** Turns evidence into ejections and returns what has changed. */
+  runDetection(evidence: readonly Evidence[]): readonly EjectionChange[] {
+    const now = this.#ports.clock.now();
+    const { detectionWeight, falseEjectionWeight, floorSlots } = this.#policy;
+    const threshold = computeThreshold(detectionWeight, falseEjectionWeight);
+    this.#scores = this.detector.computeScores(now);
+    const ownScores = new Map(this.#scores.map((row) => [row.upstreamId, row.score]));
+    const available = this.listAvailable();
+    const verdicts = available.map(({ id }) =>
+      judgeUpstream(
+        id,
+        evidence.filter((row) => row.upstreamId === id),
+        ownScores.get(id) ?? 0,
+        threshold,
+      ),
+    );
+    const changes = this.ejections.runTick({ available, verdicts, floorSlots, now });
+    changes
+      .filter(({ change }) => change === 'on-trial' || change === 'returned')
+      .forEach(({ upstreamId }) => this.detector.resetUpstream(upstreamId));
+    return changes;
+  }
+
+  close(): void {
+    this.#links.forEach((link) => link.close());
+    this.#links.clear();
+  }
+
+  #isAvailable(upstream: Upstream | undefined): upstream is Upstream {
+    if (!upstream || upstream.state === 'leaving') return false;
+    const { reachability } = this.#ports;
+    return reachability.isReachable(upstream.id) && !reachability.isDraining(upstream.id);
+  }
+
+  #closeForeignLinks(ownSlotIds: ReadonlySet<string>): void {
+    [...this.#links.keys()]
+      .filter((slotId) => !ownSlotIds.has(slotId) && !this.pool.isBusy(slotId))
+      .forEach((slotId) => this.#closeLink(slotId));
+  }
+
+  #closeLink(slotId: string): void {
+    this.#links.get(slotId)?.close();
+    this.#links.delete(slotId);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,8 @@
+export {
+  buildSettingsSchema,
+  loadSettings,
+  parseSettings,
+  SettingsError,
+  settingsSchema,
+} from './settings.js';
+export type { Endpoint, Settings } from './settings.js';
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,14 @@
+export { KeyValueService } from './platform-services/key-value-service.js';
+export type { ReadCounts, ServiceMode } from './platform-services/key-value-service.js';
+export { UpstreamStandIn } from './upstream/upstream.js';
+export { FAULT_KINDS } from './upstream/types.js';
+export type {
+  Arrival,
+  FaultKind,
+  RunCount,
+  UpstreamFault,
+  UpstreamSettings,
+  WorkKind,
+} from './upstream/types.js';
+export { FaultProxy } from './fault-proxy/fault-proxy.js';
+export type { Direction, DirectionFault } from './fault-proxy/fault-proxy.js';
