--- a/eslint.config.js
+++ b/eslint.config.js
@@ -47,6 +47,15 @@
       ],
     },
   },
+  {
+    files: ['**/*.ts'],
+    rules: {
+      // Interfaces are for behaviour that varies, type aliases for data.
+      '@typescript-eslint/consistent-type-definitions': 'off',
+      // The classes of modern-errors are errors, but the rule's type check does not see it.
+      '@typescript-eslint/only-throw-error': 'off',
+    },
+  },
   {
     files: ['eslint.config.js'],
     rules: { 'import-x/no-default-export': 'off' },
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { runCli } from './cli.js';
--- a/packages/client/src/fleet-client.ts
+++ b/packages/client/src/fleet-client.ts
@@ -120,7 +120,7 @@
     const timeLeft = Math.max(1, Math.floor(attempt.deadline - performance.now()));
     return sendHttp(`http://${target.address}:${target.port}/${request.service}${request.path}`, {
       dispatcher: this.#agent,
-      method: request.method as Dispatcher.HttpMethod,
+      method: request.method,
       headers: {
         ...request.headers,
         'baobabline-customer': this.#settings.customer,
--- a/packages/core/src/configuration/document-store.ts
+++ b/packages/core/src/configuration/document-store.ts
@@ -3,9 +3,8 @@
  * publication, from a stale service or a peer that was cut off, is never taken, and one that
  * fails its checks leaves the last good one in force.
  */
-import type { Checked, Fault } from '../lists/index.js';
 import { checkLists, checkVmList } from '../lists/index.js';
-import type { Lists, VmList } from '../lists/index.js';
+import type { Checked, Fault, Lists, VmList } from '../lists/index.js';
 import { Table } from '../tables/index.js';
 
 export const DOCUMENT_NAMES = ['lists', 'vm-list'] as const;
--- a/packages/core/src/configuration/parts.ts
+++ b/packages/core/src/configuration/parts.ts
@@ -20,7 +20,7 @@
 
 export type DocumentPart = PartReference & { readonly text: string };
 
-export class BrokenDocumentError extends BaseError {}
+export const BrokenDocumentError = BaseError.subclass('BrokenDocumentError');
 
 /** Reads a manifest; undefined when the value is the document itself. */
 export function parseManifest(text: string): readonly PartReference[] | undefined {
--- a/packages/core/src/detection/detector.ts
+++ b/packages/core/src/detection/detector.ts
@@ -11,9 +11,9 @@
 
 const DECAY_INTERVAL_MS = 1000;
 const DECAY_FACTOR = 0.93;
-const MIN_BASELINE_COUNT = 20;
+const MIN_BASELINE_COUNT = 50;
 const RECENT_MS = 1000;
-const OLD_CONNECTION_DISCOUNT = 0.5;
+const OLD_CONNECTION_DISCOUNT = 0.6;
 
 function computeMedian(values: readonly number[]): number {
   const sorted = [...values].sort((left, right) => left - right);
--- a/packages/core/src/detection/evidence-pool.ts
+++ b/packages/core/src/detection/evidence-pool.ts
@@ -26,15 +26,15 @@
 const EVIDENCE_LIFE_MS = 1500;
 const ACCUSER_SCORE = 2;
 const MIN_ACCUSERS = 2;
-const BASE_THRESHOLD = 10;
-const CAUTION_STEP = 3;
+const BASE_THRESHOLD = 13;
+const CAUTION_STEP = 1;
 const MIN_THRESHOLD = 6;
 const MAX_THRESHOLD = 24;
 
 /**
  * Computes the thresholds from a plan's weights. Equal weights give the base; each doubling of
  * the weight of false ejections over that of detection time raises the score that is asked for,
- * which makes a false ejection about twenty times rarer (e^3).
+ * which makes a false ejection about three times rarer (e).
  */
 export function computeThreshold(
   detectionWeight: number,
--- a/packages/core/src/detection/likelihood.ts
+++ b/packages/core/src/detection/likelihood.ts
@@ -6,6 +6,8 @@
  */
 
 const SICK_SHAPE = 0.3;
+/** How much less likely a full stall is than slowness, as a logarithm. */
+const STALL_RARITY = 2;
 const MAX_COMPLETED_RATIO = 4;
 const MAX_PENDING_RATIO = 12;
 const MIN_FAILURE_RATE = 0.004;
@@ -22,7 +24,9 @@
 
 /** Ratio for a request still unanswered at an age that this share of its peers reach. */
 export function computePendingRatio(survival: number): number {
-  return Math.min(MAX_PENDING_RATIO, (SICK_SHAPE - 1) * Math.log(survival));
+  const slow = (SICK_SHAPE - 1) * Math.log(survival);
+  const stalled = -Math.log(survival) - STALL_RARITY;
+  return Math.min(MAX_PENDING_RATIO, Math.max(slow, stalled));
 }
 
 /** Ratio of one failure or success where the other upstreams fail at `failureRate`. */
--- a/packages/core/src/detection/survival-histogram.ts
+++ b/packages/core/src/detection/survival-histogram.ts
@@ -7,7 +7,7 @@
 const BUCKETS_PER_OCTAVE = 4;
 const SHORTEST_MS = 0.25;
 const BUCKET_COUNT = 84;
-const TAIL_EXPONENT = 2;
+const TAIL_EXPONENT = 3;
 
 function computeBucket(elapsedMs: number): number {
   const octaves = Math.log2(Math.max(elapsedMs, SHORTEST_MS) / SHORTEST_MS);
--- a/packages/core/src/keys/key-ledger.ts
+++ b/packages/core/src/keys/key-ledger.ts
@@ -72,7 +72,7 @@
    */
   begin(keyText: string, fingerprint: string, now: number): KeyDecision<Answer> {
     const known = this.#rows.get(keyText);
-    if (known) return this.#decideKnown(known, fingerprint);
+    if (known) return this.#judgeKnown(known, fingerprint);
     const key = parseKey(keyText) as IssuedKey;
     if (key.expiresAt <= now) throw createRefusal('keyExpired');
     if (this.#isFull()) throw createRefusal('keysFull', { retryAfterSeconds: 1 });
@@ -104,7 +104,7 @@
       .forEach((row) => this.#forget(row));
   }
 
-  #decideKnown(row: KeyRow<Answer>, fingerprint: string): KeyDecision<Answer> {
+  #judgeKnown(row: KeyRow<Answer>, fingerprint: string): KeyDecision<Answer> {
     if (row.fingerprint !== fingerprint) throw createRefusal('keyReused');
     if (row.settlement) return { kind: 'repeat', settlement: row.settlement };
     return { kind: 'wait' };
--- a/packages/core/src/platform/random.ts
+++ b/packages/core/src/platform/random.ts
@@ -6,11 +6,12 @@
 import type { RandomSource } from './types.js';
 
 const UINT32_RANGE = 2 ** 32;
+const INT32_OFFSET = 2 ** 31;
 
 /** Creates a generator that repeats the same sequence for the same seed (a 32-bit integer). */
 export function createRandom(seed: number): RandomSource {
   const generator = prand.xoroshiro128plus(Math.trunc(seed));
-  return { next: () => (generator.unsafeNext() >>> 0) / UINT32_RANGE };
+  return { next: () => (generator.unsafeNext() + INT32_OFFSET) / UINT32_RANGE };
 }
 
 /** Chooses one item with equal chance; undefined for an empty list. */
--- a/packages/core/src/results/index.ts
+++ b/packages/core/src/results/index.ts
@@ -4,6 +4,7 @@
   BaseError,
   buildProblem,
   createRefusal,
+  createRequestError,
   RequestError,
   toRequestError,
 } from './request-error.js';
--- a/packages/core/src/results/request-error.ts
+++ b/packages/core/src/results/request-error.ts
@@ -15,16 +15,26 @@
   readonly retryAfterSeconds?: number;
 };
 
-export class RequestError extends BaseError {
+type RequestErrorProps = {
   readonly result: ResultCode;
-
   readonly retryAfterSeconds: number | undefined;
+};
+
+const DEFAULT_PROPS: RequestErrorProps = {
+  result: RESULT_CODES.internalError,
+  retryAfterSeconds: undefined,
+};
+
+export const RequestError = BaseError.subclass('RequestError', { props: DEFAULT_PROPS });
+
+export type RequestError = InstanceType<typeof BaseError> & RequestErrorProps;
 
-  constructor(result: ResultCode, details: RefusalDetails = {}) {
-    super(details.detail ?? result.title);
-    this.result = result;
-    this.retryAfterSeconds = details.retryAfterSeconds;
-  }
+/** Creates the error for a result code. */
+export function createRequestError(
+  result: ResultCode,
+  { detail, retryAfterSeconds }: RefusalDetails = {},
+): RequestError {
+  return new RequestError(detail ?? result.title, { props: { result, retryAfterSeconds } });
 }
 
 /** Problem details as sent to callers, media type application/problem+json. */
@@ -40,7 +50,7 @@
 
 /** Creates the error for a named result. */
 export function createRefusal(name: ResultName, details: RefusalDetails = {}): RequestError {
-  return new RequestError(RESULT_CODES[name], details);
+  return createRequestError(RESULT_CODES[name], details);
 }
 
 /** Turns whatever was thrown into a RequestError; a fault of the daemon claims nothing. */
--- a/packages/core/src/retries/attempt.ts
+++ b/packages/core/src/retries/attempt.ts
@@ -23,7 +23,7 @@
   | 'deadline-reached'
   | 'caller-gone';
 
-export class AttemptError extends BaseError {}
+export const AttemptError = BaseError.subclass('AttemptError');
 
 const ANSWERED: AttemptEnd = { kind: 'answered' };
 
--- a/packages/daemon/src/callers/app.ts
+++ b/packages/daemon/src/callers/app.ts
@@ -46,23 +46,19 @@
   };
 }
 
-export function sendAnswer(reply: FastifyReply, answer: Answer, requestId: string): FastifyReply {
-  return reply
+export function sendAnswer(reply: FastifyReply, answer: Answer, requestId: string): void {
+  reply
     .code(answer.status)
     .headers(buildAnswerHeaders(answer.headers))
     .header('x-request-id', requestId)
     .send(answer.body);
 }
 
-export function sendRefusal(
-  reply: FastifyReply,
-  error: RequestError,
-  requestId: string,
-): FastifyReply {
+export function sendRefusal(reply: FastifyReply, error: RequestError, requestId: string): void {
   if (error.retryAfterSeconds !== undefined) {
     reply.header('retry-after', String(Math.ceil(error.retryAfterSeconds)));
   }
-  return reply
+  reply
     .code(error.result.status)
     .header('content-type', PROBLEM_TYPE)
     .header('x-request-id', requestId)
@@ -115,7 +111,7 @@
     : fastify(options);
   app.setErrorHandler((error: Error, request, reply) => {
     const requestId = String(request.headers['x-request-id'] ?? 'none');
-    return sendRefusal(reply, toRefusal(error), requestId);
+    sendRefusal(reply, toRefusal(error), requestId);
   });
   return app;
 }
@@ -133,16 +129,16 @@
     return reply.header('cache-control', `max-age=${answer.holdSeconds}`).send(answer);
   }
 
-  async handleRequest(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+  async handleRequest(request: FastifyRequest, reply: FastifyReply): Promise<void> {
     const arrivedAt = performance.now();
     const arrival = buildArrival(request, reply, request.url);
     const service = request.url.split(/[/?]/, 2)[1] ?? '';
     try {
       const head = parseRequest(arrival.raw, randomUUID);
-      return await this.#serve(arrival, head, reply, arrivedAt);
+      await this.#serve(arrival, head, reply, arrivedAt);
     } catch (error) {
       const requestId = String(request.headers['x-request-id'] ?? 'none');
-      return this.#refuse(reply, toRequestError(error), requestId, service, arrivedAt);
+      this.#refuse(reply, toRequestError(error), requestId, service, arrivedAt);
     }
   }
 
@@ -151,14 +147,14 @@
     head: ReturnType<typeof parseRequest>,
     reply: FastifyReply,
     arrivedAt: number,
-  ): Promise<FastifyReply> {
+  ): Promise<void> {
     try {
       const answer = await this.#ports.path.handleCaller(arrival, head);
       this.#measure(head.service, 0, arrivedAt);
-      return sendAnswer(reply, answer, head.requestId);
+      sendAnswer(reply, answer, head.requestId);
     } catch (error) {
       const refusal = toRequestError(error);
-      return this.#refuse(reply, refusal, head.requestId, head.service, arrivedAt);
+      this.#refuse(reply, refusal, head.requestId, head.service, arrivedAt);
     }
   }
 
@@ -168,7 +164,7 @@
     requestId: string,
     service: string,
     arrivedAt: number,
-  ): FastifyReply {
+  ): void {
     const { code, name } = refusal.result;
     const isKnown = name !== 'unknown-service' && name !== 'malformed-request';
     this.#measure(isKnown ? service : 'none', code, arrivedAt);
@@ -180,7 +176,7 @@
       code,
       detail: refusal.message,
     });
-    return sendRefusal(reply, refusal, requestId);
+    sendRefusal(reply, refusal, requestId);
   }
 
   #measure(service: string, code: number, arrivedAt: number): void {
@@ -197,6 +193,9 @@
   app.get<{ Querystring: EntriesQuery }>('/entries', (request, reply) =>
     handlers.handleEntries(request.query, reply),
   );
-  app.all('/*', (request, reply) => handlers.handleRequest(request, reply));
+  app.all('/*', async (request, reply) => {
+    await handlers.handleRequest(request, reply);
+    return reply;
+  });
   return app;
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -268,6 +268,7 @@
   #createRequestPath(): RequestPath {
     return new RequestPath({
       clock: this.#clock,
+      random: this.#random,
       view: this.#view,
       loads: this.#loads,
       limits: this.#limits,
@@ -278,6 +279,7 @@
       maxHeldBytes: this.#settings.maxHeldAnswerBytes,
       findService: (name) => this.#services.get(name),
       checkReady: () => this.#checkReady(),
+      hasRoomElsewhere: (service) => this.#path.hasRoomElsewhere(service),
       recordDraining: (upstreamId) => this.#reachability.recordDraining(upstreamId),
       crashWatch: new CrashWatch({
         reports: this.#crashReports,
@@ -459,6 +461,7 @@
       clock: this.#clock,
       random: this.#random,
       reachability: this.#reachability,
+      suspicion: this.#settings.suspicion,
       getOrigin: (upstream: Upstream) => {
         const { address, port } = this.#findEndpoint(upstream);
         return `http://${address}:${port}`;
--- a/packages/daemon/src/fleet/peer-loads.ts
+++ b/packages/daemon/src/fleet/peer-loads.ts
@@ -33,6 +33,13 @@
     });
   }
 
+  /** Takes in the free slots that came with a peer's answer. */
+  recordFree(daemonId: string, service: string, free: number): void {
+    const row = this.#rows.get(`${daemonId}|${service}`);
+    if (!row || !Number.isFinite(free)) return;
+    this.#rows.put({ ...row, free, waiting: 0, heardAt: this.#clock.now() });
+  }
+
   /** Slots that a peer probably has free now, below zero where requests wait. */
   computeRoom(daemonId: string, service: string): number {
     const row = this.#rows.get(`${daemonId}|${service}`);
--- a/packages/daemon/src/fleet/peer-reports.ts
+++ b/packages/daemon/src/fleet/peer-reports.ts
@@ -23,6 +23,7 @@
 };
 
 const URGENT_INTERVAL_MS = 100;
+const BUSY_INTERVAL_MS = 200;
 const REGULAR_INTERVAL_MS = 500;
 const CRASH_AGE_MS = 1500;
 
@@ -50,13 +51,18 @@
     this.#ports.pool.add(evidence);
     const crashes = this.#ports.crashReports.listRecent(CRASH_AGE_MS);
     const isUrgent = evidence.length + crashes.length > 0;
-    const interval = isUrgent ? URGENT_INTERVAL_MS : REGULAR_INTERVAL_MS;
+    const interval = isUrgent ? URGENT_INTERVAL_MS : this.#getCalmInterval(services);
     const now = this.#ports.clock.now();
     if (now - this.#sentAt < interval) return;
     this.#sentAt = now;
     this.#listAudience().forEach((peer) => this.#send(peer, services, evidence, [...crashes]));
   }
 
+  #getCalmInterval(services: readonly ServiceState[]): number {
+    const isBusy = services.some(({ pool }) => pool.busyCount * 2 > pool.slotCount);
+    return isBusy ? BUSY_INTERVAL_MS : REGULAR_INTERVAL_MS;
+  }
+
   #listEvidence(service: ServiceState): readonly Evidence[] {
     const { pool, view } = this.#ports;
     const { id: reporterId, dataCentre: reporterDataCentre } = view.membership.self;
--- a/packages/daemon/src/peers/server.ts
+++ b/packages/daemon/src/peers/server.ts
@@ -13,6 +13,7 @@
   sendAnswer,
   sendRefusal,
 } from '../callers/app.js';
+import { FREE_HEADER } from '../requests/index.js';
 import type { Answer, Arrival, RequestPath } from '../requests/index.js';
 import type { Settings } from '../settings/index.js';
 import { createPeerRouter } from './app.js';
@@ -26,22 +27,31 @@
 
 type Handle = (arrival: Arrival) => Promise<Answer>;
 
-function registerRoute(app: FastifyInstance, route: string, handle: Handle): void {
+function registerRoute(
+  app: FastifyInstance,
+  route: string,
+  handle: Handle,
+  countFree: (url: string) => number,
+): void {
   const prefix = `/${route}`;
   app.all(`${prefix}/*`, async (request: FastifyRequest, reply: FastifyReply) => {
     const requestId = String(request.headers['x-request-id'] ?? 'none');
     try {
       const arrival = buildArrival(request, reply, request.url.slice(prefix.length));
-      return sendAnswer(reply, await handle(arrival), requestId);
+      const answer = await handle(arrival);
+      reply.header(FREE_HEADER, String(countFree(arrival.raw.url)));
+      sendAnswer(reply, answer, requestId);
     } catch (error) {
-      return sendRefusal(reply, toRequestError(error), requestId);
+      sendRefusal(reply, toRequestError(error), requestId);
     }
+    return reply;
   });
 }
 
 /** Creates the peers' listener. */
 export async function createPeerApp(ports: PeerServerPorts): Promise<FastifyInstance> {
   const { settings, path, handlers } = ports;
+  const countFree = (url: string): number => path.countFree(url.split(/[/?]/, 2)[1] ?? '');
   const app = createHttpApp(settings, false);
   const options: FastifyTRPCPluginOptions<PeerRouter>['trpcOptions'] = {
     router: createPeerRouter(handlers),
@@ -49,8 +59,8 @@
   await app.register(fastifyTRPCPlugin, { prefix: '/trpc', trpcOptions: options });
   await app.register(async (scope) => {
     acceptAnyBody(scope);
-    registerRoute(scope, 'dispatch', (arrival) => path.handleDispatch(arrival));
-    registerRoute(scope, 'run', (arrival) => path.handleRun(arrival));
+    registerRoute(scope, 'dispatch', (arrival) => path.handleDispatch(arrival), countFree);
+    registerRoute(scope, 'run', (arrival) => path.handleRun(arrival), countFree);
   });
   return app;
 }
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -74,7 +74,7 @@
       {
         origin: this.#target.origin,
         path: this.#target.path,
-        method: head.method as Dispatcher.HttpMethod,
+        method: head.method,
         headers: buildOnwardHeaders(this.#job, timeLeftMs),
         body: body.length > 0 ? body : null,
         idempotent: false,
--- a/packages/daemon/src/requests/hand-on.ts
+++ b/packages/daemon/src/requests/hand-on.ts
@@ -2,8 +2,8 @@
  * Hands a request on to another daemon: to one that owns slots of the service, or to the one that
  * alone may run its idempotency key.
  */
-import { createRefusal, findResultCode, RequestError } from '@baobabline/core';
-import type { Clock, Member, ResultName } from '@baobabline/core';
+import { createRefusal, createRequestError, findResultCode } from '@baobabline/core';
+import type { Clock, Member, RequestError, ResultName } from '@baobabline/core';
 import { Agent } from 'undici';
 
 import type { Endpoint } from '../settings/index.js';
@@ -49,7 +49,7 @@
   const result = findResultCode(Number(refused));
   if (!result)
     return createRefusal('peerLost', { detail: 'The peer refused with an unknown code' });
-  return new RequestError(result, { retryAfterSeconds: readRetryAfter(answer) });
+  return createRequestError(result, { retryAfterSeconds: readRetryAfter(answer) });
 }
 
 export class HandOn {
--- a/packages/daemon/src/requests/headers.ts
+++ b/packages/daemon/src/requests/headers.ts
@@ -7,6 +7,12 @@
 
 import type { AnswerHeaders, Job } from './types.js';
 
+/** Slots that the answering daemon has free, told to the one that handed a request on. */
+export const FREE_HEADER = 'baobabline-free';
+
+/** `no` where a request handed on is to be refused at once if no slot is free. */
+export const WAIT_HEADER = 'baobabline-wait';
+
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
@@ -22,6 +28,8 @@
   'baobabline-refused',
   'baobabline-outcome',
   'baobabline-draining',
+  FREE_HEADER,
+  WAIT_HEADER,
 ]);
 
 type HeaderRecord = Record<string, string | string[]>;
@@ -41,6 +49,7 @@
     [REQUEST_HEADERS.requestId]: job.head.requestId,
     [REQUEST_HEADERS.deadlineMs]: String(Math.max(1, Math.floor(timeLeftMs))),
     [REQUEST_HEADERS.repeatable]: String(job.repeatable),
+    ...(job.mayWait ? {} : { [WAIT_HEADER]: 'no' }),
   };
 }
 
--- a/packages/daemon/src/requests/request-path.ts
+++ b/packages/daemon/src/requests/request-path.ts
@@ -14,6 +14,7 @@
   CrashReports,
   KeyLedger,
   Member,
+  RandomSource,
   RawRequest,
   RequestHead,
   ResultCode,
@@ -28,6 +29,7 @@
 import type { PlanLimits } from '../limits/plan-limits.js';
 import type { ServiceState } from '../services/index.js';
 import type { HandOn } from './hand-on.js';
+import { FREE_HEADER, WAIT_HEADER } from './headers.js';
 import { RequestRun } from './request-run.js';
 import type { RunPorts } from './request-run.js';
 import type { Answer, Job } from './types.js';
@@ -47,14 +49,17 @@
   readonly crashReports: CrashReports;
   readonly handOn: HandOn;
   readonly decisions: DecisionLog;
+  readonly random: RandomSource;
   readonly findService: (name: string) => ServiceState | undefined;
   /** Throws a refusal while the daemon has no current view of the fleet. */
   readonly checkReady: () => void;
 };
 
-type Place = { readonly kind: 'here' } | { readonly kind: 'peer'; readonly member: Member };
+type Place =
+  | { readonly kind: 'here' }
+  | { readonly kind: 'peer'; readonly member: Member; readonly mayWait: boolean };
 
-const MAX_PLACES = 3;
+const MAX_PLACES = 4;
 const UNPLACED_CODES: ReadonlySet<ResultCode['name']> = new Set([
   'owner-unreachable',
   'not-ready',
@@ -88,6 +93,17 @@
     return this.#inFlight;
   }
 
+  /** Slots of a service that this daemon has free, less the requests that wait. */
+  countFree(service: string): number {
+    const pool = this.#ports.findService(service)?.pool;
+    return pool ? pool.countFree() - pool.waitingCount : 0;
+  }
+
+  /** Whether another dispatcher of the service probably has a free slot. */
+  hasRoomElsewhere(service: string): boolean {
+    return this.#drawRoomyPeer(service, []) !== undefined;
+  }
+
   runTick(): void {
     const now = this.#ports.clock.now();
     this.#runs.forEach((run) => run.runTick(now));
@@ -105,7 +121,7 @@
   /** Handles a keyed request that a peer handed on because this daemon alone may run it. */
   async handleRun(arrival: Arrival): Promise<Answer> {
     return this.#count(async () => {
-      const job = this.#createTrustedJob(arrival);
+      const job = { ...this.#createTrustedJob(arrival), mayMove: true, mayWait: true };
       if (!job.head.key || !this.#ports.ledger.isOwnKey(job.head.key)) {
         throw createRefusal('runnerGone');
       }
@@ -147,6 +163,8 @@
       weight: admission.kind.weight,
       share: admission.plan.share,
       fingerprint: computeFingerprint(head, arrival.body),
+      mayMove: true,
+      mayWait: true,
     };
     this.#checkQuarantine(job);
     await this.#ports.limits.take(head.customer, admission.plan, admission.kind.weight);
@@ -167,6 +185,8 @@
       weight: rule?.kinds.find(({ name }) => name === head.kind)?.weight ?? 1,
       share: plan?.share ?? 1,
       fingerprint: computeFingerprint(head, body),
+      mayMove: false,
+      mayWait: raw.headers[WAIT_HEADER] !== 'no',
     };
   }
 
@@ -243,7 +263,9 @@
     if (!place) throw createRefusal('ownerUnreachable', { retryAfterSeconds: 1 });
     const placeId = place.kind === 'here' ? this.#selfId : place.member.id;
     try {
-      return await (place.kind === 'here' ? this.#runHere(job) : this.#sendTo(job, place.member));
+      return await (place.kind === 'here'
+        ? this.#runHere(job)
+        : this.#sendTo({ ...job, mayWait: place.mayWait }, place.member));
     } catch (error) {
       const refusal = toRequestError(error);
       const mayTry = this.#canTryElsewhere(job, refusal) && tried.length + 1 < MAX_PLACES;
@@ -281,26 +303,47 @@
     if (canRunHere && own && own.pool.countFree() > 0 && own.pool.waitingCount === 0) {
       return { kind: 'here' };
     }
-    const best = this.#choosePeer(service, tried);
-    if (best && (!canRunHere || this.#ports.loads.computeRoom(best.id, service) > 0)) {
-      return { kind: 'peer', member: best };
-    }
-    return canRunHere ? { kind: 'here' } : undefined;
+    const roomy = tried.length + 1 < MAX_PLACES ? this.#drawRoomyPeer(service, tried) : undefined;
+    if (roomy) return { kind: 'peer', member: roomy, mayWait: false };
+    if (canRunHere) return { kind: 'here' };
+    const member =
+      this.#chooseLeastLoadedPeer(service, tried) ?? this.#chooseLeastLoadedPeer(service, []);
+    return member && { kind: 'peer', member, mayWait: true };
   }
 
-  #choosePeer(service: string, tried: readonly string[]): Member | undefined {
-    const { view, loads } = this.#ports;
-    const { membership } = view;
-    const owners = view.services.get(service)?.owners ?? [];
+  /**
+   * Draws a peer in proportion to the room it has: what is known of it is some hundred
+   * milliseconds old, and if all chose the best one it would be swamped.
+   */
+  #drawRoomyPeer(service: string, tried: readonly string[]): Member | undefined {
+    const { loads, random } = this.#ports;
+    const rooms = this.#listPeers(service, tried)
+      .map((member) => ({ member, room: loads.computeRoom(member.id, service) }))
+      .filter(({ room }) => room > 0);
+    const total = rooms.reduce((sum, { room }) => sum + room, 0);
+    const draw = random.next() * total;
+    const index = rooms.findIndex(
+      (_, at) => draw < rooms.slice(0, at + 1).reduce((sum, { room }) => sum + room, 0),
+    );
+    return rooms[index]?.member;
+  }
+
+  #chooseLeastLoadedPeer(service: string, tried: readonly string[]): Member | undefined {
+    const { loads } = this.#ports;
+    return this.#listPeers(service, tried).reduce<Member | undefined>((best, owner) => {
+      const isBetter =
+        !best || loads.computeRoom(owner.id, service) > loads.computeRoom(best.id, service);
+      return isBetter ? owner : best;
+    }, undefined);
+  }
+
+  #listPeers(service: string, tried: readonly string[]): readonly Member[] {
+    const { membership, services } = this.#ports.view;
+    const owners = services.get(service)?.owners ?? [];
     return owners
       .filter(({ id }) => id !== this.#selfId && !tried.includes(id))
       .filter(({ id }) => membership.members.get(id)?.state === 'serving')
-      .filter(({ id }) => !membership.brokenLinks.has(id))
-      .reduce<Member | undefined>((best, owner) => {
-        const isBetter =
-          !best || loads.computeRoom(owner.id, service) > loads.computeRoom(best.id, service);
-        return isBetter ? owner : best;
-      }, undefined);
+      .filter(({ id }) => !membership.brokenLinks.has(id));
   }
 
   async #sendTo(job: Job, member: Member): Promise<Answer> {
@@ -309,7 +352,12 @@
     this.#recordHandOn(job, member);
     loads.addOutstanding(member.id, service, 1);
     try {
-      return await handOn.send(job, member, 'dispatch');
+      const answer = await handOn.send(job, member, 'dispatch');
+      loads.recordFree(member.id, service, Number(answer.headers[FREE_HEADER]));
+      return answer;
+    } catch (error) {
+      if (!job.mayWait) loads.recordFree(member.id, service, 0);
+      throw error;
     } finally {
       loads.addOutstanding(member.id, service, -1);
     }
--- a/packages/daemon/src/requests/request-run.ts
+++ b/packages/daemon/src/requests/request-run.ts
@@ -3,8 +3,8 @@
  * hedge for a repeatable request that stalls, and retries where they are safe and the budget
  * allows them.
  */
-import { canTryAgain, createRefusal, RequestError, RESULT_CODES } from '@baobabline/core';
-import type { Clock, Slot, SlotGrant, Ticket } from '@baobabline/core';
+import { canTryAgain, createRefusal } from '@baobabline/core';
+import type { Clock, RequestError, ResultName, Slot, SlotGrant, Ticket } from '@baobabline/core';
 
 import type { DecisionLog } from '../decisions/index.js';
 import type { ServiceState, UpstreamLink } from '../services/index.js';
@@ -18,6 +18,8 @@
   readonly crashWatch: CrashWatch;
   readonly maxHeldBytes: number;
   readonly recordDraining: (upstreamId: string) => void;
+  /** Whether another dispatcher of the service probably has a free slot. */
+  readonly hasRoomElsewhere: (service: string) => boolean;
 };
 
 type RunningAttempt = {
@@ -31,6 +33,7 @@
 const MAX_ATTEMPTS = 4;
 const HEDGE_SURVIVAL = 0.02;
 const STALE_IDLE_MS = 1000;
+const MOVE_AFTER_MS = 20;
 const SERVER_ERROR_STATUS = 500;
 const MS_PER_SECOND = 1000;
 
@@ -54,6 +57,8 @@
 
   #attempts = 0;
 
+  #waitingSince: number | undefined;
+
   #hedged = false;
 
   #settled = false;
@@ -102,9 +107,19 @@
       this.#running.forEach(({ attempt }) => attempt.abort('deadline-reached'));
       return;
     }
+    this.#moveIfStuck(now);
     this.#hedgeIfStalled(now);
   }
 
+  /** Gives up waiting here for a first slot where another dispatcher has one free. */
+  #moveIfStuck(now: number): void {
+    if (this.#waitingSince === undefined || this.#attempts > 0 || !this.#job.mayMove) return;
+    if (now - this.#waitingSince < MOVE_AFTER_MS) return;
+    if (!this.#ports.hasRoomElsewhere(this.#service.name)) return;
+    if (!this.#service.pool.removeWaiting(this.#job.head.requestId)) return;
+    this.#fail(createRefusal('noCapacity', { retryAfterSeconds: 1 }));
+  }
+
   get #timeLeft(): number {
     return this.#job.deadline - this.#ports.clock.now();
   }
@@ -135,6 +150,7 @@
       this.#fail(refusal);
       return;
     }
+    this.#waitingSince = this.#ports.clock.now();
     this.#record('waiting');
     pool.wait(ticket, {
       onGrant: (granted) => this.#launch(granted),
@@ -146,6 +162,8 @@
   #refuseEarly(): RequestError | undefined {
     const { pool } = this.#service;
     if (!pool.hasUsableSlots()) return createRefusal('noUpstream', { retryAfterSeconds: 1 });
+    const isFirst = this.#attempts === 0;
+    if (isFirst && !this.#job.mayWait) return createRefusal('noCapacity', { retryAfterSeconds: 1 });
     const waitMs = pool.computeExpectedWaitMs();
     const retryAfterSeconds = Math.ceil(waitMs / MS_PER_SECOND);
     if (pool.isFull()) return createRefusal('queueFull', { retryAfterSeconds });
@@ -162,6 +180,7 @@
       return;
     }
     this.#attempts += 1;
+    this.#waitingSince = undefined;
     this.#triedUpstreams = [...this.#triedUpstreams, slot.upstreamId];
     const running = this.#startAttempt(slot, now);
     this.#record('dispatched', {
@@ -229,7 +248,7 @@
 
   #handleFailure(result: AttemptResult): void {
     if (result.end.kind !== 'failed') return;
-    const error = new RequestError(RESULT_CODES[result.end.result], { retryAfterSeconds: 1 });
+    const error = createRefusal(result.end.result, { retryAfterSeconds: 1 });
     if (error.result.outcome === 'unknown') this.#unknownError = error;
     this.#tryAgainOrFinish(result, canTryAgain(result.end, this.#job.repeatable), error);
   }
@@ -274,14 +293,19 @@
     if (result.draining) this.#ports.recordDraining(slot.upstreamId);
     if (result.answer) {
       const failed = isServerError(result.answer);
-      detector.recordEnd(id, failed ? 'failed' : 'completed', now);
+      this.#service.recordEnd(id, slot.upstreamId, failed ? 'failed' : 'completed');
       if (!failed) this.#recordGoodAnswer(running, now);
       return;
     }
     const name = result.end.kind === 'failed' ? result.end.result : undefined;
     if (name === 'upstreamsShed') detector.forget(id);
     else if (name === 'noUpstream' || name === 'upstreamLost') this.#learnFromLoss(running, name);
-    else detector.recordEnd(id, name === 'answerInvalid' ? 'failed' : 'abandoned', now);
+    else this.#recordBadEnd(running, name);
+  }
+
+  #recordBadEnd({ id, slot }: RunningAttempt, name: ResultName | undefined): void {
+    const end = name === 'answerInvalid' ? 'failed' : 'abandoned';
+    this.#service.recordEnd(id, slot.upstreamId, end);
   }
 
   #recordGoodAnswer({ slot, startedAt }: RunningAttempt, now: number): void {
@@ -307,7 +331,7 @@
       .investigate(upstream, loss)
       .then((crashed) => {
         if (crashed) detector.forget(id);
-        else detector.recordEnd(id, 'failed', this.#ports.clock.now());
+        else this.#service.recordEnd(id, slot.upstreamId, 'failed');
       })
       .catch(() => undefined);
   }
--- a/packages/daemon/src/requests/types.ts
+++ b/packages/daemon/src/requests/types.ts
@@ -25,6 +25,10 @@
   readonly share: number;
   /** Same for requests of the same customer, kind, path and body. */
   readonly fingerprint: string;
+  /** Whether it may still be handed on to another dispatcher. */
+  readonly mayMove: boolean;
+  /** Whether it may wait for a slot, or is to be refused at once where none is free. */
+  readonly mayWait: boolean;
   /** Fires when the caller goes away. */
   readonly cancelled: AbortSignal;
 };
--- a/packages/daemon/src/services/service-state.ts
+++ b/packages/daemon/src/services/service-state.ts
@@ -3,10 +3,9 @@
  * what it knows of the upstreams, and the retry budget.
  */
 import {
-  computeThreshold,
+  createSuspicionPolicy,
   Detector,
   Ejections,
-  judgeUpstream,
   RetryBudget,
   SlotPool,
 } from '@baobabline/core';
@@ -16,7 +15,10 @@
   Evidence,
   RandomSource,
   ServicePolicy,
+  RequestEnd,
   Slot,
+  SuspicionPolicy,
+  SuspicionPolicyName,
   Upstream,
   UpstreamScore,
   UpstreamStanding,
@@ -29,6 +31,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly reachability: UpstreamReachability;
+  readonly suspicion: SuspicionPolicyName;
   /** The origin at which this daemon reaches an upstream. */
   readonly getOrigin: (upstream: Upstream) => string;
 };
@@ -53,6 +56,8 @@
 
   readonly #ports: ServicePorts;
 
+  readonly #suspicion: SuspicionPolicy;
+
   readonly #links = new Map<string, UpstreamLink>();
 
   #upstreams: ReadonlyMap<string, Upstream> = new Map();
@@ -65,6 +70,7 @@
     this.name = policy.name;
     this.#policy = policy;
     this.#ports = ports;
+    this.#suspicion = createSuspicionPolicy(ports.suspicion);
     this.pool = new SlotPool({
       clock: ports.clock,
       random: ports.random,
@@ -118,19 +124,16 @@
   /** Turns evidence into ejections and returns what has changed. */
   runDetection(evidence: readonly Evidence[]): readonly EjectionChange[] {
     const now = this.#ports.clock.now();
-    const { detectionWeight, falseEjectionWeight, floorSlots } = this.#policy;
-    const threshold = computeThreshold(detectionWeight, falseEjectionWeight);
+    const { floorSlots } = this.#policy;
     this.#scores = this.detector.computeScores(now);
-    const ownScores = new Map(this.#scores.map((row) => [row.upstreamId, row.score]));
     const available = this.listAvailable();
-    const verdicts = available.map(({ id }) =>
-      judgeUpstream(
-        id,
-        evidence.filter((row) => row.upstreamId === id),
-        ownScores.get(id) ?? 0,
-        threshold,
-      ),
-    );
+    const verdicts = this.#suspicion.judge({
+      upstreamIds: available.map(({ id }) => id),
+      scores: this.#scores,
+      evidence,
+      policy: this.#policy,
+      now,
+    });
     const changes = this.ejections.runTick({ available, verdicts, floorSlots, now });
     changes
       .filter(({ change }) => change === 'on-trial' || change === 'returned')
@@ -138,6 +141,12 @@
     return changes;
   }
 
+  /** Tells detection how an attempt ended. */
+  recordEnd(attemptId: string, upstreamId: string, end: RequestEnd): void {
+    this.detector.recordEnd(attemptId, end, this.#ports.clock.now());
+    this.#suspicion.recordEnd(upstreamId, end);
+  }
+
   close(): void {
     this.#links.forEach((link) => link.close());
     this.#links.clear();
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -2,7 +2,7 @@
  * A daemon's settings: where it listens, where it is, and where peers and the platform are found.
  * The check reports every fault at once and refuses unknown fields.
  */
-import { BaseError, checkShape, formatFault } from '@baobabline/core';
+import { BaseError, checkShape, formatFault, SUSPICION_POLICIES } from '@baobabline/core';
 import type { Fault } from '@baobabline/core';
 import { readFile } from 'node:fs/promises';
 import { z } from 'zod';
@@ -57,6 +57,8 @@
   entryHoldSeconds: z.number().min(0.5).max(60).default(5),
   /** How long an idempotency key may be used after it was issued. */
   keyLifeSeconds: z.number().min(5).max(3600).default(60),
+  /** How upstreams are judged; the second way is there to be measured against. */
+  suspicion: z.enum(SUSPICION_POLICIES).default('pooled'),
   maxStopSeconds: z.number().min(1).max(600).default(45),
   maxBodyBytes: z
     .int()
@@ -76,19 +78,16 @@
 export type Endpoint = z.infer<typeof endpointSchema>;
 
 /** Settings that may not be used, with all faults. */
-export class SettingsError extends BaseError {
-  readonly faults: readonly Fault[];
+export const SettingsError = BaseError.subclass('SettingsError');
 
-  constructor(faults: readonly Fault[]) {
-    super(faults.map(formatFault).join('\n'));
-    this.faults = faults;
-  }
+function createSettingsError(faults: readonly Fault[]): InstanceType<typeof SettingsError> {
+  return new SettingsError(faults.map(formatFault).join('\n'));
 }
 
 /** Checks settings as read from JSON. Throws SettingsError. */
 export function parseSettings(value: unknown): Settings {
   const checked = checkShape(settingsSchema, value);
-  if (!checked.ok) throw new SettingsError(checked.faults);
+  if (!checked.ok) throw createSettingsError(checked.faults);
   return checked.value;
 }
 
@@ -97,14 +96,14 @@
     return JSON.parse(text);
   } catch (error) {
     const allowed = `JSON (${(error as Error).message})`;
-    throw new SettingsError([{ field: file, value: 'the file', allowed }]);
+    throw createSettingsError([{ field: file, value: 'the file', allowed }]);
   }
 }
 
 /** Reads and checks a settings file. Throws SettingsError. */
 export async function loadSettings(file: string): Promise<Settings> {
   const text = await readFile(file, 'utf8').catch((error: Error) => {
-    throw new SettingsError([{ field: file, value: 'the file', allowed: error.message }]);
+    throw createSettingsError([{ field: file, value: 'the file', allowed: error.message }]);
   });
   return parseSettings(parseJson(file, text));
 }
--- a/packages/experiments/src/harness/daemon-process.ts
+++ b/packages/experiments/src/harness/daemon-process.ts
@@ -2,7 +2,7 @@
  * Daemons as real processes: start with generated settings, wait until they serve, kill, freeze
  * or stop them. Only processes started here are ever signalled.
  */
-import type { Settings } from '@baobabline/daemon';
+import type { Settings, Status } from '@baobabline/daemon';
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { mkdtemp, writeFile } from 'node:fs/promises';
@@ -10,6 +10,7 @@
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { createInterface } from 'node:readline';
+import { request as sendHttp } from 'undici';
 
 type LogLine = Readonly<Record<string, unknown>> & { readonly event: string };
 
@@ -112,6 +113,12 @@
     });
   }
 
+  /** Reads what the daemon believes. */
+  async readStatus(): Promise<Status> {
+    const response = await sendHttp(`${this.operatorUrl}/status`);
+    return (await response.body.json()) as Status;
+  }
+
   /** Asks for a planned stop and resolves when the process has ended. */
   async stop(): Promise<void> {
     this.#child.kill('SIGTERM');
--- a/packages/experiments/src/harness/fleet-harness.ts
+++ b/packages/experiments/src/harness/fleet-harness.ts
@@ -3,7 +3,7 @@
  * daemons as processes of their own.
  */
 import type { Upstream } from '@baobabline/core';
-import { KeyValueService, UpstreamStandIn } from '@baobabline/stand-ins';
+import { FaultProxy, KeyValueService, UpstreamStandIn } from '@baobabline/stand-ins';
 
 import type { Deployment, ServiceSize } from '../deployment/deployments.js';
 import { DaemonProcess } from './daemon-process.js';
@@ -15,6 +15,8 @@
   readonly seed: number;
   readonly coldMs?: number;
   readonly answerBytes?: number;
+  /** Puts a fault-injecting proxy before every upstream. */
+  readonly proxied?: boolean;
   /** Settings that all daemons get besides the generated ones. */
   readonly settings?: Partial<DaemonSettings>;
 };
@@ -53,6 +55,8 @@
 
   #upstreams: readonly UpstreamStandIn[] = [];
 
+  readonly #proxies = new Map<string, FaultProxy>();
+
   #listsVersion = 0;
 
   #vmListVersion = 0;
@@ -86,6 +90,7 @@
   async stop(): Promise<void> {
     await Promise.all(this.#daemons.map((daemon) => daemon.kill()));
     await Promise.all(this.#upstreams.map((upstream) => upstream.crash().catch(() => undefined)));
+    await Promise.all([...this.#proxies.values()].map((proxy) => proxy.stop()));
     await Promise.all([this.configuration.stop(), this.vmListService.stop()]);
   }
 
@@ -127,8 +132,20 @@
     return this.#upstreams.find(({ settings }) => settings.id === id) as UpstreamStandIn;
   }
 
-  #buildUpstreamRow({ settings, port }: UpstreamStandIn): Upstream {
-    const { id, address, dataCentre, service, slots } = settings;
+  findProxy(upstreamId: string): FaultProxy {
+    return this.#proxies.get(upstreamId) as FaultProxy;
+  }
+
+  async #startProxy(upstream: UpstreamStandIn): Promise<void> {
+    const { id, address } = upstream.settings;
+    const proxy = new FaultProxy({ address, port: upstream.port });
+    await proxy.start();
+    this.#proxies.set(id, proxy);
+  }
+
+  #buildUpstreamRow(upstream: UpstreamStandIn): Upstream {
+    const { id, address, dataCentre, service, slots } = upstream.settings;
+    const port = this.#proxies.get(id)?.port ?? upstream.port;
     const state = this.#leaving.has(id) ? 'leaving' : 'live';
     return {
       id,
@@ -147,6 +164,8 @@
       this.#createUpstreams(size, index),
     );
     await Promise.all(this.#upstreams.map((upstream) => upstream.start()));
+    if (this.options.proxied !== true) return;
+    await Promise.all(this.#upstreams.map((upstream) => this.#startProxy(upstream)));
   }
 
   #createUpstreams(size: ServiceSize, serviceIndex: number): readonly UpstreamStandIn[] {
@@ -186,9 +205,7 @@
   async #seesAll(): Promise<boolean> {
     const counts = await Promise.all(
       this.#daemons.map(async (daemon) => {
-        const status = (await (await fetch(`${daemon.operatorUrl}/status`)).json()) as {
-          readonly members: readonly { readonly state: string }[];
-        };
+        const status = await daemon.readStatus();
         return status.members.filter(({ state }) => state === 'serving').length;
       }),
     );
