--- /dev/null
+++ b/packages/core/src/membership/membership.test.ts
@@ -0,0 +1,118 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { createRandom } from '../platform/index.js';
+import { DEFAULT_MEMBERSHIP_SETTINGS, isNewerMember, Membership } from './index.js';
+import type { Member, MemberState } from './index.js';
+
+const STATES: readonly MemberState[] = ['joining', 'serving', 'leaving', 'suspect', 'left', 'dead'];
+
+function createMember(id: string, changes: Partial<Member> = {}): Member {
+  return {
+    id,
+    address: '127.0.0.1',
+    peerPort: 1,
+    callerPort: 2,
+    dataCentre: 'dc-1',
+    incarnation: 1,
+    version: 1,
+    state: 'serving',
+    ...changes,
+  };
+}
+
+class FakeFleet {
+  now = 0;
+
+  createMembership(id: string): Membership {
+    return new Membership(createMember(id), DEFAULT_MEMBERSHIP_SETTINGS, {
+      clock: { now: () => this.now },
+      random: createRandom(id.length),
+    });
+  }
+}
+
+describe('merging of members', () => {
+  const arbitrary = fc.record({
+    incarnation: fc.integer({ min: 1, max: 3 }),
+    version: fc.integer({ min: 1, max: 3 }),
+    state: fc.constantFrom(...STATES),
+  });
+
+  it('ends alike whatever the order of the news', () => {
+    const merge = (news: readonly Partial<Member>[]): Member | undefined =>
+      news.reduce<Member | undefined>((known, change) => {
+        const candidate = createMember('a', change);
+        return isNewerMember(candidate, known) ? candidate : known;
+      }, undefined);
+    fc.assert(
+      fc.property(fc.array(arbitrary, { minLength: 1, maxLength: 6 }), (news) => {
+        const present = news.filter(({ state }) => state !== 'left');
+        expect(merge([...present].reverse())).to.deep.equal(merge(present));
+      }),
+      { seed: 1, numRuns: 500 },
+    );
+  });
+
+  it('never revives a member that has left', () => {
+    const left = createMember('a', { state: 'left' });
+    expect(isNewerMember(createMember('a', { version: 9 }), left)).to.equal(false);
+    expect(isNewerMember(createMember('a', { incarnation: 2 }), left)).to.equal(true);
+  });
+});
+
+describe('Membership', () => {
+  it('refutes a suspicion of itself with a higher version', () => {
+    const membership = new FakeFleet().createMembership('a');
+    membership.applyUpdates([createMember('a', { state: 'suspect' })]);
+    expect(membership.self).to.include({ state: 'serving', version: 2 });
+  });
+
+  it('holds a suspect to be dead only after the time to refute', () => {
+    const fleet = new FakeFleet();
+    const membership = fleet.createMembership('a');
+    membership.applyUpdates([createMember('b')]);
+    membership.recordUnreachable('b');
+    expect(membership.members.get('b')?.state).to.equal('suspect');
+    fleet.now = DEFAULT_MEMBERSHIP_SETTINGS.suspicionMs - 1;
+    membership.runTick();
+    expect(membership.members.get('b')?.state).to.equal('suspect');
+    fleet.now += 1;
+    membership.runTick();
+    expect(membership.members.get('b')?.state).to.equal('dead');
+  });
+
+  it('keeps a member that only this daemon cannot reach', () => {
+    const membership = new FakeFleet().createMembership('a');
+    membership.applyUpdates([createMember('b')]);
+    membership.recordBrokenLink('b');
+    expect(membership.members.get('b')?.state).to.equal('serving');
+    expect(membership.listReachable().map(({ id }) => id)).to.deep.equal(['a']);
+  });
+
+  it('sends a bounded number of rows however large the fleet is', () => {
+    const membership = new FakeFleet().createMembership('a');
+    const members = Array.from({ length: 510 }, (_, index) => createMember(`entry-${index}`));
+    membership.applyUpdates(members);
+    expect(membership.buildUpdates()).to.have.length(
+      DEFAULT_MEMBERSHIP_SETTINGS.maxUpdatesPerMessage,
+    );
+  });
+
+  it('stops to tell old news', () => {
+    const membership = new FakeFleet().createMembership('a');
+    membership.applyUpdates([createMember('b')]);
+    Array.from({ length: 20 }).forEach(() => membership.buildUpdates());
+    expect(membership.buildUpdates()).to.have.length(0);
+  });
+
+  it('forgets a member that left when its tombstone is old', () => {
+    const fleet = new FakeFleet();
+    const membership = fleet.createMembership('a');
+    membership.applyUpdates([createMember('b')]);
+    membership.applyUpdates([createMember('b', { state: 'left' })]);
+    fleet.now = DEFAULT_MEMBERSHIP_SETTINGS.tombstoneMs;
+    membership.runTick();
+    expect(membership.members.has('b')).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/core/src/requests/requests.test.ts
@@ -0,0 +1,99 @@
+import { expect } from 'chai';
+
+import { toRequestError } from '../results/index.js';
+import { parseRequest, PlanIndex } from './index.js';
+import type { RequestHead } from './index.js';
+
+const HEADERS = { 'baobabline-customer': 'society-1', 'baobabline-kind': 'read' };
+
+function parse(
+  changes: Readonly<Record<string, string>> = {},
+  url = '/visit-desk/due?x=1',
+): RequestHead {
+  return parseRequest({ method: 'GET', url, headers: { ...HEADERS, ...changes } }, () => 'id-1');
+}
+
+function readRefusal(run: () => unknown): string {
+  try {
+    run();
+    return 'none';
+  } catch (error) {
+    return toRequestError(error).result.name;
+  }
+}
+
+describe('parseRequest', () => {
+  it('reads path, service and headers', () => {
+    expect(parse()).to.deep.include({
+      service: 'visit-desk',
+      path: '/due?x=1',
+      requestId: 'id-1',
+      repeatable: true,
+      timeAllowedMs: 10_000,
+    });
+  });
+
+  it('holds only safe methods to be repeatable, unless told', () => {
+    const post = { method: 'POST', url: '/visit-desk/', headers: HEADERS };
+    expect(parseRequest(post, () => 'i').repeatable).to.equal(false);
+    expect(parse({ 'baobabline-repeatable': 'false' }).repeatable).to.equal(false);
+  });
+
+  const bad: readonly (readonly [string, Readonly<Record<string, string>>, string])[] = [
+    ['a customer with a strange name', { 'baobabline-customer': 'A B' }, 'bad-header'],
+    ['a missing kind', { 'baobabline-kind': '' }, 'bad-header'],
+    ['a deadline that is no number', { 'baobabline-deadline-ms': 'soon' }, 'bad-header'],
+    ['a deadline far off', { 'baobabline-deadline-ms': '999999999' }, 'bad-header'],
+    ['a deadline already past', { 'baobabline-deadline-ms': '-5' }, 'deadline-passed'],
+    ['a strange repeatable', { 'baobabline-repeatable': 'maybe' }, 'bad-header'],
+    ['a request id with spaces', { 'x-request-id': 'a b' }, 'bad-header'],
+    ["a key of the caller's own making", { 'idempotency-key': 'my-key' }, 'key-not-issued'],
+  ];
+  bad.forEach(([what, headers, name]) => {
+    it(`refuses ${what}`, () => {
+      expect(readRefusal(() => parse(headers))).to.equal(name);
+    });
+  });
+
+  it('refuses a path without a service', () => {
+    expect(readRefusal(() => parse({}, '/'))).to.equal('unknown-service');
+  });
+});
+
+describe('PlanIndex', () => {
+  const index = new PlanIndex({
+    version: 1,
+    customers: [{ id: 'society-1', plan: 'standard' }],
+    plans: [
+      {
+        id: 'standard',
+        ratePerSecond: 1,
+        burst: 1,
+        share: 1,
+        services: [
+          {
+            name: 'visit-desk',
+            kinds: [{ name: 'read', weight: 1, repeatable: false }],
+            floorSlots: 0,
+            detectionWeight: 1,
+            falseEjectionWeight: 1,
+            maxBodyBytes: 10,
+          },
+        ],
+      },
+    ],
+  });
+
+  it('lets the plan say what is repeatable', () => {
+    expect(index.admit(parse(), 0).repeatable).to.equal(false);
+  });
+
+  it('refuses what the plan does not allow', () => {
+    expect(readRefusal(() => index.admit(parse({}, '/atelier/x'), 0))).to.equal('unknown-service');
+    const stranger = parse({ 'baobabline-customer': 'nobody' });
+    expect(readRefusal(() => index.admit(stranger, 0))).to.equal('unknown-customer');
+    const kind = parse({ 'baobabline-kind': 'book' });
+    expect(readRefusal(() => index.admit(kind, 0))).to.equal('kind-not-in-plan');
+    expect(readRefusal(() => index.admit(parse(), 11))).to.equal('body-too-large');
+  });
+});
--- /dev/null
+++ b/packages/core/src/routing/choose-owners.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { hashText } from '../platform/index.js';
+import { assignSlots, chooseOwners, computeOwnerCount } from './index.js';
+import type { Placeable, Slot } from './index.js';
+
+function createDaemons(count: number): readonly Placeable[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `entry-${index}`,
+    dataCentre: `dc-${index % 3}`,
+  }));
+}
+
+function createSlots(upstreams: number, slots: number): readonly Slot[] {
+  return Array.from({ length: upstreams * slots }, (_, at) => ({
+    id: `up-${Math.floor(at / slots)}#${at % slots}`,
+    upstreamId: `up-${Math.floor(at / slots)}`,
+    index: at % slots,
+  }));
+}
+
+describe('chooseOwners', () => {
+  it('spreads the dispatchers of a service over the data centres', () => {
+    const owners = chooseOwners('visit-desk', 60, createDaemons(36), hashText);
+    expect(owners).to.have.length(computeOwnerCount(60));
+    expect(new Set(owners.map(({ dataCentre }) => dataCentre)).size).to.equal(3);
+  });
+
+  it('replaces only the daemon that has gone', () => {
+    const daemons = createDaemons(36);
+    const before = chooseOwners('visit-desk', 60, daemons, hashText).map(({ id }) => id);
+    const rest = daemons.filter(({ id }) => id !== before[0]);
+    const after = chooseOwners('visit-desk', 60, rest, hashText).map(({ id }) => id);
+    expect(before.slice(1).filter((id) => !after.includes(id))).to.have.length(0);
+  });
+});
+
+describe('assignSlots', () => {
+  it('gives every slot one owner and no owner more than its even share', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 30 }),
+        fc.integer({ min: 1, max: 4 }),
+        fc.integer({ min: 1, max: 12 }),
+        (upstreams, slotsEach, ownerCount) => {
+          const slots = createSlots(upstreams, slotsEach);
+          const assigned = assignSlots(slots, createDaemons(ownerCount), hashText);
+          expect(new Set(assigned.map(({ id }) => id)).size).to.equal(slots.length);
+          const limit = Math.ceil(slots.length / ownerCount);
+          const counts = createDaemons(ownerCount).map(
+            (daemon) => assigned.filter(({ ownerId }) => ownerId === daemon.id).length,
+          );
+          expect(Math.max(...counts)).to.be.at.most(limit);
+        },
+      ),
+      { seed: 2, numRuns: 100 },
+    );
+  });
+
+  it('does not depend on the order in which a daemon knows the others', () => {
+    const slots = createSlots(20, 3);
+    const owners = createDaemons(6);
+    const one = assignSlots(slots, owners, hashText);
+    const other = assignSlots([...slots].reverse(), [...owners].reverse(), hashText);
+    expect(other).to.deep.equal(one);
+  });
+
+  it('lets several daemons see each upstream', () => {
+    const assigned = assignSlots(createSlots(20, 3), createDaemons(6), hashText);
+    const alone = createSlots(20, 1).filter(({ upstreamId }) => {
+      const rows = assigned.filter((slot) => slot.upstreamId === upstreamId);
+      return new Set(rows.map(({ ownerId }) => ownerId)).size === 1;
+    });
+    expect(alone).to.have.length(0);
+  });
+});
--- a/packages/core/src/routing/wait-queue.ts
+++ b/packages/core/src/routing/wait-queue.ts
@@ -6,6 +6,7 @@
 
 type CustomerUse = { readonly virtualTime: number };
 
+const MAX_REMEMBERED_CUSTOMERS = 1000;
 const EMPTY_USE: CustomerUse = { virtualTime: 0 };
 
 export type Waiting<Payload> = {
@@ -80,7 +81,14 @@
     const start = Math.max(this.#getVirtualTime(ticket.customer), this.#virtualTime);
     this.#virtualTime = start;
     this.#uses.set(ticket.customer, { virtualTime: start + ticket.weight / ticket.share });
-    if (this.#waiting.length === 0) this.#uses.clear();
+    if (this.#uses.size > MAX_REMEMBERED_CUSTOMERS) this.#forgetIdleCustomers();
+  }
+
+  /** A customer whose time has been overtaken is served like one never seen. */
+  #forgetIdleCustomers(): void {
+    [...this.#uses]
+      .filter(([, { virtualTime }]) => virtualTime <= this.#virtualTime)
+      .forEach(([customer]) => this.#uses.delete(customer));
   }
 
   #getVirtualTime(customer: string): number {
--- a/packages/daemon/src/callers/app.ts
+++ b/packages/daemon/src/callers/app.ts
@@ -63,7 +63,7 @@
     .header('content-type', PROBLEM_TYPE)
     .header('x-request-id', requestId)
     .header(REFUSED_HEADER, String(error.result.code))
-    .send(JSON.stringify(buildProblem(error, requestId)));
+    .send(Buffer.from(JSON.stringify(buildProblem(error, requestId))));
 }
 
 /** Answers bytes that are no HTTP request. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -39,7 +39,7 @@
 import type { Log } from './platform/log.js';
 import { CrashWatch, HandOn, RequestPath } from './requests/index.js';
 import type { Answer } from './requests/index.js';
-import { checkConnects, ServiceState, UpstreamReachability } from './services/index.js';
+import { checkAnswers, ServiceState, UpstreamReachability } from './services/index.js';
 import type { Endpoint, Settings } from './settings/index.js';
 
 const REQUEST_TICK_MS = 20;
@@ -284,7 +284,7 @@
       crashWatch: new CrashWatch({
         reports: this.#crashReports,
         reachability: this.#reachability,
-        probe: checkConnects,
+        probe: checkAnswers,
         getEndpoint: (upstream) => this.#findEndpoint(upstream),
       }),
     });
--- a/packages/daemon/src/requests/crash-watch.ts
+++ b/packages/daemon/src/requests/crash-watch.ts
@@ -1,7 +1,7 @@
 /**
  * Tells a crashed upstream from a broken connection: when one breaks with a request in flight,
- * a new connection is tried at once. If it is refused the upstream is down, and the request that
- * was in flight is reported as the possible cause.
+ * a new connection is tried at once. If nothing answers on it the upstream is down, and the request
+ * that was in flight is reported as the possible cause.
  */
 import type { CrashReports, Upstream } from '@baobabline/core';
 
@@ -29,11 +29,15 @@
     this.#ports = ports;
   }
 
+  isQuarantined(fingerprint: string): boolean {
+    return this.#ports.reports.isQuarantined(fingerprint);
+  }
+
   /** Resolves with whether the upstream is down. */
   async investigate(upstream: Upstream, loss: Loss): Promise<boolean> {
     const { address, port } = this.#ports.getEndpoint(upstream);
-    const connects = await this.#ports.probe(address, port, PROBE_TIMEOUT_MS);
-    if (connects) return false;
+    const answers = await this.#ports.probe(address, port, PROBE_TIMEOUT_MS);
+    if (answers) return false;
     this.#ports.reachability.recordUnreachable(upstream.id, address, port);
     if (loss.fingerprint !== undefined) {
       this.#ports.reports.add([
--- a/packages/daemon/src/requests/request-run.ts
+++ b/packages/daemon/src/requests/request-run.ts
@@ -226,12 +226,12 @@
         this.#service.pool.release(slot, reusable ? now - running.startedAt : undefined);
       })
       .catch(() => undefined);
-    attempt.done.then((result) => this.#handleEnd(running, result)).catch(() => undefined);
+    attempt.done.then(async (result) => this.#handleEnd(running, result)).catch(() => undefined);
   }
 
-  #handleEnd(running: RunningAttempt, result: AttemptResult): void {
+  async #handleEnd(running: RunningAttempt, result: AttemptResult): Promise<void> {
+    await this.#learn(running, result);
     this.#running = this.#running.filter((other) => other !== running);
-    this.#learn(running, result);
     if (this.#settled) return;
     if (result.answer) this.#handleAnswer(result.answer, result);
     else this.#handleFailure(result);
@@ -256,7 +256,8 @@
   #tryAgainOrFinish(result: AttemptResult, safe: boolean, error?: RequestError): void {
     if (this.#running.length > 0) return;
     const connectFailed = result.end.kind === 'failed' && result.end.result === 'noUpstream';
-    const mayTry = safe && this.#attempts < MAX_ATTEMPTS && this.#timeLeft > 0;
+    const isPoison = this.#ports.crashWatch.isQuarantined(this.#job.fingerprint);
+    const mayTry = safe && !isPoison && this.#attempts < MAX_ATTEMPTS && this.#timeLeft > 0;
     if (mayTry && (connectFailed || this.#service.retryBudget.takeRetry())) {
       this.#takeSlot();
       return;
@@ -286,7 +287,7 @@
   }
 
   /** Tells detection what an attempt has shown about its upstream. */
-  #learn(running: RunningAttempt, result: AttemptResult): void {
+  async #learn(running: RunningAttempt, result: AttemptResult): Promise<void> {
     const { id, slot } = running;
     const now = this.#ports.clock.now();
     const { detector } = this.#service;
@@ -299,8 +300,9 @@
     }
     const name = result.end.kind === 'failed' ? result.end.result : undefined;
     if (name === 'upstreamsShed') detector.forget(id);
-    else if (name === 'noUpstream' || name === 'upstreamLost') this.#learnFromLoss(running, name);
-    else this.#recordBadEnd(running, name);
+    else if (name === 'noUpstream' || name === 'upstreamLost') {
+      await this.#learnFromLoss(running, name);
+    } else this.#recordBadEnd(running, name);
   }
 
   #recordBadEnd({ id, slot }: RunningAttempt, name: ResultName | undefined): void {
@@ -318,7 +320,10 @@
     }
   }
 
-  #learnFromLoss({ id, slot }: RunningAttempt, name: 'noUpstream' | 'upstreamLost'): void {
+  async #learnFromLoss(
+    { id, slot }: RunningAttempt,
+    name: 'noUpstream' | 'upstreamLost',
+  ): Promise<void> {
     const upstream = this.#service.getUpstream(slot.upstreamId);
     const { detector } = this.#service;
     if (!upstream) {
@@ -327,13 +332,9 @@
     }
     const { fingerprint } = this.#job;
     const loss = { id, fingerprint: name === 'upstreamLost' ? fingerprint : undefined };
-    this.#ports.crashWatch
-      .investigate(upstream, loss)
-      .then((crashed) => {
-        if (crashed) detector.forget(id);
-        else this.#service.recordEnd(id, slot.upstreamId, 'failed');
-      })
-      .catch(() => undefined);
+    const crashed = await this.#ports.crashWatch.investigate(upstream, loss);
+    if (crashed) detector.forget(id);
+    else this.#service.recordEnd(id, slot.upstreamId, 'failed');
   }
 
   #succeed(answer: Answer): void {
--- a/packages/daemon/src/services/upstream-reachability.ts
+++ b/packages/daemon/src/services/upstream-reachability.ts
@@ -1,10 +1,10 @@
 /**
- * Upstreams that refuse connections or say that they are leaving. An unreachable one is tried
- * with a connection and a health probe, ever less often, until it answers.
+ * Upstreams that do not answer new connections or say that they are leaving. An unreachable one
+ * is probed, ever less often, until it answers.
  */
 import type { Clock } from '@baobabline/core';
 import { Table } from '@baobabline/core';
-import { connect } from 'node:net';
+import { Client } from 'undici';
 
 export type Probe = (address: string, port: number, timeoutMs: number) => Promise<boolean>;
 
@@ -23,22 +23,30 @@
 const PROBE_TIMEOUT_MS = 500;
 const DRAIN_MEMORY_MS = 15_000;
 
-/** Whether a TCP connection can be opened within the time. */
-export async function checkConnects(
+/**
+ * Whether an upstream answers anything at all on a new connection within the time. The answer of
+ * a health endpoint may lie, but that one comes shows that the process is there.
+ */
+export async function checkAnswers(
   address: string,
   port: number,
   timeoutMs: number,
 ): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = connect({ host: address, port, timeout: timeoutMs });
-    const settle = (connects: boolean): void => {
-      socket.destroy();
-      resolve(connects);
-    };
-    socket.once('connect', () => settle(true));
-    socket.once('timeout', () => settle(false));
-    socket.once('error', () => settle(false));
-  });
+  const client = new Client(`http://${address}:${port}`, { connect: { timeout: timeoutMs } });
+  try {
+    const response = await client.request({
+      method: 'GET',
+      path: '/health',
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+    });
+    await response.body.dump();
+    return true;
+  } catch {
+    return false;
+  } finally {
+    client.destroy().catch(() => undefined);
+  }
 }
 
 export class UpstreamReachability {
@@ -50,7 +58,7 @@
 
   readonly #probe: Probe;
 
-  constructor(clock: Clock, probe: Probe = checkConnects) {
+  constructor(clock: Clock, probe: Probe = checkAnswers) {
     this.#clock = clock;
     this.#probe = probe;
   }
@@ -95,7 +103,7 @@
     const pause = Math.min(MAX_PROBE_MS, FIRST_PROBE_MS * 2 ** failures);
     this.#absences.put({ ...absence, failures, nextProbeAt: now + pause + PROBE_TIMEOUT_MS });
     this.#probe(absence.address, absence.port, PROBE_TIMEOUT_MS)
-      .then((connects) => connects && this.#absences.remove(absence.id))
+      .then((answers) => answers && this.#absences.remove(absence.id))
       .catch(() => undefined);
   }
 }
--- a/packages/experiments/src/detection/detection-experiment.ts
+++ b/packages/experiments/src/detection/detection-experiment.ts
@@ -45,7 +45,8 @@
   readonly time: string;
 };
 
-const WARM_UP_MS = 4000;
+const WARM_UP_MS = 6000;
+const RAMP_S = 3;
 const TRIAL_SPACING_MS = 1500;
 const OBSERVE_MS = 5000;
 /** After so long without work an upstream's next request belongs to the return trickle. */
@@ -53,7 +54,7 @@
 const MEAN_SERVICE_MS = 55;
 const LOAD_SHARE = 0.6;
 const WAVE_SHARE = 1;
-const WAVE_STARTS_S = 5;
+const WAVE_STARTS_S = 8;
 const BOOK_SHARE = 0.2;
 const DEADLINE_MS = 3000;
 const CLIENTS = 60;
@@ -150,7 +151,9 @@
       seed: this.#options.seed,
       clients: CLIENTS,
       getRate: (seconds) =>
-        fullRate * (isWave && seconds > WAVE_STARTS_S ? WAVE_SHARE : LOAD_SHARE),
+        fullRate *
+        Math.min(1, seconds / RAMP_S) *
+        (isWave && seconds > WAVE_STARTS_S ? WAVE_SHARE : LOAD_SHARE),
       bookShare: BOOK_SHARE,
       deadlineMs: DEADLINE_MS,
     });
--- /dev/null
+++ b/packages/experiments/src/proofs/fleet.test.ts
@@ -0,0 +1,151 @@
+import { expect } from 'chai';
+
+import type { DaemonProcess } from '../harness/daemon-process.js';
+import { FleetHarness, waitFor } from '../harness/fleet-harness.js';
+import { Load } from '../harness/load.js';
+import { wait } from '../runner/report.js';
+import { sendTo, SMALL } from './small-deployment.js';
+
+async function readListsVersions(daemons: readonly DaemonProcess[]): Promise<readonly number[]> {
+  const statuses = await Promise.all(daemons.map((daemon) => daemon.readStatus()));
+  return statuses.map(({ documents }) => documents.find(({ id }) => id === 'lists')?.version ?? 0);
+}
+
+describe('a fleet of real processes', () => {
+  const harness = new FleetHarness({
+    deployment: SMALL,
+    daemons: 5,
+    seed: 4,
+    settings: { entryHoldSeconds: 1 },
+  });
+  const getDaemon = (index: number): DaemonProcess => harness.daemons[index] as DaemonProcess;
+
+  before(async () => harness.start());
+  after(async () => harness.stop());
+
+  function createLoad(): Load {
+    return new Load({
+      deployment: { ...SMALL, customers: SMALL.customers.slice(0, 1) },
+      seeds: harness.seeds,
+      seed: 1,
+      clients: 4,
+      getRate: () => 80,
+      bookShare: 0.3,
+      deadlineMs: 4000,
+    });
+  }
+
+  it('puts a new publication in force everywhere', async () => {
+    const version = harness.publishLists();
+    await waitFor(
+      async () => (await readListsVersions(harness.daemons)).every((held) => held === version),
+      6000,
+      'all daemons hold the new version',
+    );
+  });
+
+  it('never takes an older version back from a stale service', async () => {
+    const version = harness.publishLists();
+    await waitFor(
+      async () => (await readListsVersions(harness.daemons)).every((held) => held === version),
+      6000,
+      'all daemons hold the new version',
+    );
+    harness.configuration.setMode('stale');
+    const late = await harness.addDaemon(5);
+    await late.waitForEvent('serving');
+    await waitFor(
+      async () => (await readListsVersions([late])).every((held) => held === version),
+      6000,
+      'the new daemon holds the newest version',
+    );
+    expect(await readListsVersions(harness.daemons)).to.deep.equal(
+      harness.daemons.map(() => version),
+    );
+    harness.configuration.setMode('up');
+  });
+
+  it('refuses a bad publication and keeps the last good one', async () => {
+    const [before] = await readListsVersions([getDaemon(0)]);
+    harness.configuration.publish('lists', '{"version": 999, "customers": []}');
+    await Promise.any(harness.daemons.map((daemon) => daemon.waitForEvent('document-refused')));
+    harness.configuration.publish('lists', 'no json');
+    expect(await readListsVersions([getDaemon(0)])).to.deep.equal([before]);
+    expect((await sendTo(getDaemon(0))).status).to.equal(200);
+  });
+
+  it('starts a daemon from its peers while the services are down', async () => {
+    harness.configuration.setMode('down');
+    harness.vmListService.setMode('down');
+    const added = await harness.addDaemon(6);
+    await added.waitForEvent('serving');
+    expect((await sendTo(added)).status).to.equal(200);
+    harness.configuration.setMode('up');
+    harness.vmListService.setMode('up');
+  });
+
+  it('cuts no request when a daemon is stopped as planned', async () => {
+    const load = createLoad();
+    load.start();
+    await wait(500);
+    const stopped = getDaemon(1);
+    await stopped.stop();
+    harness.removeDaemon(stopped);
+    await load.stop();
+    expect(load.counts).to.include({ unknown: 0, notRun: 0, crossed: 0, cutShort: 0 });
+    expect(load.counts.answered).to.equal(load.counts.sent);
+  });
+
+  it('sends no new work to an upstream that is leaving', async () => {
+    const load = createLoad();
+    load.start();
+    await wait(500);
+    const leaving = harness.findUpstream('visit-desk-2');
+    harness.retire('visit-desk-2');
+    await wait(2000);
+    leaving.forgetArrivals();
+    await wait(1000);
+    await load.stop();
+    expect(leaving.arrivals).to.have.length(0);
+    expect(load.counts).to.include({ unknown: 0, notRun: 0 });
+  });
+
+  it('sends no new work to an upstream that says it is draining', async () => {
+    const load = createLoad();
+    load.start();
+    await wait(500);
+    const draining = harness.findUpstream('visit-desk-3');
+    draining.drain();
+    await wait(2000);
+    draining.forgetArrivals();
+    await wait(1000);
+    await load.stop();
+    expect(draining.arrivals).to.have.length(0);
+    expect(load.counts).to.include({ unknown: 0, notRun: 0 });
+  });
+
+  it('drops a killed daemon out of the entry answers', async () => {
+    const killed = getDaemon(2);
+    await killed.kill();
+    harness.removeDaemon(killed);
+    await waitFor(
+      async () => {
+        const statuses = await Promise.all(harness.daemons.map((daemon) => daemon.readStatus()));
+        return statuses.every(({ members }) =>
+          members.every(({ id, state }) => id !== killed.id || state === 'dead'),
+        );
+      },
+      10_000,
+      'all hold the killed daemon to be dead',
+    );
+  });
+
+  it('refuses what waited while it was frozen, and serves again', async () => {
+    const frozen = getDaemon(0);
+    frozen.freeze();
+    await wait(1800);
+    frozen.thaw();
+    await frozen.waitForEvent('paused');
+    await waitFor(async () => (await sendTo(frozen)).status === 200, 8000, 'it serves again');
+  });
+});
--- a/packages/stand-ins/src/upstream/upstream.ts
+++ b/packages/stand-ins/src/upstream/upstream.ts
@@ -13,6 +13,7 @@
 
 const NO_FAULT: UpstreamFault = { kind: 'none', lyingHealth: false };
 const SLOW_FACTOR = 5;
+const RESTART_MS = 200;
 const COLD_FACTOR = 3;
 const FLAP_PERIOD_MS = 4000;
 const DEFAULT_MEDIAN_MS = 40;
@@ -51,6 +52,8 @@
 
   #cancelled = 0;
 
+  #crashes = 0;
+
   #fault: UpstreamFault = NO_FAULT;
 
   #faultSetAt = Date.now();
@@ -107,6 +110,15 @@
     return this.#shed;
   }
 
+  get activeCount(): number {
+    return this.#active;
+  }
+
+  /** How often a request or a fault made it crash. */
+  get crashCount(): number {
+    return this.#crashes;
+  }
+
   get cancelledCount(): number {
     return this.#cancelled;
   }
@@ -186,8 +198,13 @@
   }
 
   #crashAndRestart(): void {
+    this.#crashes += 1;
     this.crash()
-      .then(() => this.start())
+      .then(() => {
+        setTimeout(() => {
+          this.start().catch(() => undefined);
+        }, RESTART_MS);
+      })
       .catch(() => undefined);
   }
 
