Measure each promise by an experiment over real processes

Cause: the figures that the users measure were not known. Change: experiments path, once, stop, slots, limits, configuration, fleet beside detection; baselines for routing as policies behind an interface; log lines are written in batches; idle connections are replaced after 5 s (bookings) or 30 s instead of 1 s, which cost one request in twenty a new connection.

--- a/bin/verbs.js
+++ b/bin/verbs.js
@@ -79,6 +79,7 @@
   'hedge',
   'cancel',
   'abort',
+  'flush',
   'move',
   'fail',
   'succeed',
--- a/packages/core/src/detection/crash-reports.ts
+++ b/packages/core/src/detection/crash-reports.ts
@@ -26,6 +26,10 @@
     this.#clock = clock;
   }
 
+  get isEmpty(): boolean {
+    return this.#reports.size === 0;
+  }
+
   add(reports: readonly CrashReport[]): void {
     const heardAt = this.#clock.now();
     reports
--- /dev/null
+++ b/packages/core/src/routing/random-slot.ts
@@ -0,0 +1,13 @@
+/**
+ * Any free slot with equal chance.
+ */
+import { chooseOne } from '../platform/index.js';
+import type { RandomSource } from '../platform/index.js';
+import type { LoadView, SlotChooser } from './slot-chooser.js';
+import type { Slot } from './types.js';
+
+export class RandomSlot implements SlotChooser {
+  choose(slots: readonly Slot[], _loads: LoadView, random: RandomSource): Slot {
+    return chooseOne(random, slots) as Slot;
+  }
+}
--- a/packages/core/src/routing/slot-pool.test.ts
+++ b/packages/core/src/routing/slot-pool.test.ts
@@ -2,6 +2,7 @@
 
 import { createRandom } from '../platform/index.js';
 import { SlotPool } from './index.js';
+import { RandomSlot } from './random-slot.js';
 import type { SlotGrant, Ticket, UpstreamStanding } from './index.js';
 
 function createTicket(requestId: string, changes: Partial<Ticket> = {}): Ticket {
@@ -29,6 +30,7 @@
   readonly pool = new SlotPool({
     clock: { now: () => this.now },
     random: createRandom(1),
+    chooser: new RandomSlot(),
     getStanding: (id) => this.standings.get(id) ?? 'healthy',
   });
 
@@ -65,8 +67,8 @@
     const grant = fixture.acquire(createTicket('1', { excludedUpstreams: ['b'] }));
     expect(grant.slot.upstreamId).to.equal('c');
     expect(grant.listPassedOver()).to.have.deep.members([
-      { upstreamId: 'a', reason: 'barred' },
-      { upstreamId: 'b', reason: 'excluded' },
+      { reason: 'barred', slots: ['a#0'] },
+      { reason: 'excluded', slots: ['b#0'] },
     ]);
   });
 
--- a/packages/core/src/routing/slot-pool.ts
+++ b/packages/core/src/routing/slot-pool.ts
@@ -2,8 +2,8 @@
  * The slots of one service that this daemon owns, which of them are in use, and who waits for
  * the next. It grants a slot at once, makes the request wait, or says why neither is possible.
  */
-import { chooseOne } from '../platform/index.js';
 import type { Clock, RandomSource } from '../platform/index.js';
+import type { LoadView, SlotChooser } from './slot-chooser.js';
 import type { PassedOver, Slot, Ticket, UpstreamStanding } from './types.js';
 import { WaitQueue } from './wait-queue.js';
 
@@ -23,6 +23,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly getStanding: (upstreamId: string) => UpstreamStanding;
+  readonly chooser: SlotChooser;
 };
 
 const STANDING_RANK: Readonly<Record<UpstreamStanding, number>> = {
@@ -32,6 +33,12 @@
   barred: Number.POSITIVE_INFINITY,
 };
 
+const PASS_REASONS: readonly PassedOver['reason'][] = [
+  'busy',
+  'excluded',
+  'barred',
+  'ranked-lower',
+];
 const MAX_WAITING_PER_SERVICE = 256;
 const SERVICE_TIME_SMOOTHING = 0.05;
 const INITIAL_SERVICE_TIME_MS = 50;
@@ -43,6 +50,13 @@
 
   readonly #busy = new Map<string, Slot>();
 
+  readonly #reportedLoads = new Map<string, number>();
+
+  readonly #loads: LoadView = {
+    countBusy: (upstreamId) => this.#countBusy(upstreamId),
+    getReportedLoad: (upstreamId) => this.#reportedLoads.get(upstreamId) ?? 0,
+  };
+
   readonly #queue = new WaitQueue<GrantHandler>(MAX_WAITING_PER_SERVICE);
 
   #meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
@@ -78,6 +92,12 @@
     return this.#slots.filter((slot) => this.#isFree(slot) && this.#rankSlot(slot) < 2).length;
   }
 
+  /** Whether a slot could take a request now and none waits for it. */
+  hasFreeSlot(): boolean {
+    if (this.#queue.length > 0) return false;
+    return this.#slots.some((slot) => this.#isFree(slot) && this.#rankSlot(slot) < 2);
+  }
+
   hasUsableSlots(): boolean {
     return this.#slots.some((slot) => Number.isFinite(this.#rankSlot(slot)));
   }
@@ -105,6 +125,11 @@
     return grant;
   }
 
+  /** Takes in the load that an upstream reported. */
+  recordLoad(upstreamId: string, load: number): void {
+    this.#reportedLoads.set(upstreamId, load);
+  }
+
   /** Makes a request wait; the handler is called once. */
   wait(ticket: Ticket, handler: GrantHandler): void {
     this.#queue.add({ ticket, payload: handler });
@@ -145,15 +170,17 @@
   }
 
   #grant(ticket: Ticket): SlotGrant | undefined {
-    const candidates = this.#listCandidates(ticket);
-    if (candidates.length === 0) return undefined;
-    const bestRank = Math.min(...candidates.map((slot) => this.#rankSlot(slot)));
-    const best = candidates.filter((slot) => this.#rankSlot(slot) === bestRank);
-    const slot = chooseOne(this.#ports.random, best) as Slot;
+    const best = this.#listBest(this.#listCandidates(ticket));
+    if (best.length === 0) return undefined;
+    const slot = this.#ports.chooser.choose(best, this.#loads, this.#ports.random);
     this.#busy.set(slot.id, slot);
     return { slot, listPassedOver: () => this.#listPassedOver(ticket, slot) };
   }
 
+  #countBusy(upstreamId: string): number {
+    return [...this.#busy.values()].filter((slot) => slot.upstreamId === upstreamId).length;
+  }
+
   #isFree(slot: Slot): boolean {
     return !this.#busy.has(slot.id);
   }
@@ -177,10 +204,19 @@
     return standing !== 'trial' || ticket.repeatable;
   }
 
+  #listBest(candidates: readonly Slot[]): readonly Slot[] {
+    const ranked = candidates.map((slot) => ({ slot, rank: this.#rankSlot(slot) }));
+    const bestRank = ranked.reduce((best, { rank }) => Math.min(best, rank), Infinity);
+    return ranked.filter(({ rank }) => rank === bestRank).map(({ slot }) => slot);
+  }
+
   #listPassedOver(ticket: Ticket, chosen: Slot): readonly PassedOver[] {
-    return this.#slots
-      .filter((slot) => slot.upstreamId !== chosen.upstreamId)
-      .map((slot) => ({ upstreamId: slot.upstreamId, reason: this.#explain(slot, ticket) }));
+    const passed = this.#slots.filter(({ upstreamId }) => upstreamId !== chosen.upstreamId);
+    const reasons = passed.map((slot) => ({ slot, reason: this.#explain(slot, ticket) }));
+    return PASS_REASONS.flatMap((reason) => {
+      const slots = reasons.filter((row) => row.reason === reason).map(({ slot }) => slot.id);
+      return slots.length > 0 ? [{ reason, slots }] : [];
+    });
   }
 
   #explain(slot: Slot, ticket: Ticket): PassedOver['reason'] {
--- /dev/null
+++ b/packages/core/src/routing/two-choices.ts
@@ -0,0 +1,17 @@
+/**
+ * The less loaded of two upstreams drawn by chance, by the load that they last reported.
+ */
+import { chooseOne } from '../platform/index.js';
+import type { RandomSource } from '../platform/index.js';
+import type { LoadView, SlotChooser } from './slot-chooser.js';
+import type { Slot } from './types.js';
+
+export class TwoChoices implements SlotChooser {
+  choose(slots: readonly Slot[], loads: LoadView, random: RandomSource): Slot {
+    const first = chooseOne(random, slots) as Slot;
+    const second = chooseOne(random, slots) as Slot;
+    const isLighter =
+      loads.getReportedLoad(second.upstreamId) < loads.getReportedLoad(first.upstreamId);
+    return isLighter ? second : first;
+  }
+}
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -34,8 +34,8 @@
   readonly excludedUpstreams: readonly string[];
 };
 
-/** An upstream that was not chosen, and why. */
+/** Slots of other upstreams that were not chosen, and why. */
 export type PassedOver = {
-  readonly upstreamId: string;
   readonly reason: 'busy' | 'excluded' | 'barred' | 'ranked-lower';
+  readonly slots: readonly string[];
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,7 +31,7 @@
 import { Metrics } from './metrics/metrics.js';
 import { createOperatorApp } from './operators/app.js';
 import type { Phase } from './operators/status.js';
-import { PeerClient } from './peers/index.js';
+import { ControlMeter, PeerClient } from './peers/index.js';
 import { createPeerApp } from './peers/server.js';
 import { createProcessRandom, systemClock } from './platform/clock.js';
 import { KeyValueClient } from './platform/key-value-client.js';
@@ -78,6 +78,8 @@
 
   readonly #services = new Map<string, ServiceState>();
 
+  readonly #meter = new ControlMeter();
+
   readonly #client: PeerClient;
 
   readonly #reachability: UpstreamReachability;
@@ -122,7 +124,7 @@
     this.#settings = settings;
     this.#log = createLog(settings, this.#random);
     this.#decisions = new DecisionLog(this.#log);
-    this.#client = new PeerClient((endpoint) => this.#findEndpoint(endpoint));
+    this.#client = new PeerClient((endpoint) => this.#findEndpoint(endpoint), this.#meter);
     this.#reachability = new UpstreamReachability(this.#clock);
     this.#crashReports = new CrashReports(this.#clock);
     this.#evidence = new EvidencePool(this.#clock);
@@ -229,7 +231,7 @@
       clock,
       random: this.#random,
     });
-    this.#view = new FleetView(membership, this.#documents);
+    this.#view = new FleetView(membership, this.#documents, this.#settings.routing);
     this.#loads = new PeerLoads(clock);
     this.#limits = new PlanLimits({ clock, view: this.#view, client: this.#client });
     this.#ledger = new KeyLedger<Answer>(
@@ -322,7 +324,7 @@
       getDocumentVersion: (name) => this.#documents.getVersion(name),
       countRefusedDocuments: () => this.#documents.refusedCount,
       countKeys: () => this.#ledger.size,
-      getControlBytes: () => this.#client.traffic.sent + this.#client.traffic.received,
+      getControlBytes: () => this.#meter.bytes,
     });
   }
 
@@ -340,6 +342,7 @@
     return createPeerApp({
       settings: this.#settings,
       path: this.#path,
+      meter: this.#meter,
       handlers: {
         exchange: (message) => this.#gossip.handleExchange(message),
         probe: (request) => this.#gossip.handleProbe(request),
@@ -462,6 +465,7 @@
       random: this.#random,
       reachability: this.#reachability,
       suspicion: this.#settings.suspicion,
+      routing: this.#settings.routing,
       getOrigin: (upstream: Upstream) => {
         const { address, port } = this.#findEndpoint(upstream);
         return `http://${address}:${port}`;
--- a/packages/daemon/src/fleet/fleet-view.ts
+++ b/packages/daemon/src/fleet/fleet-view.ts
@@ -15,6 +15,7 @@
   DocumentStore,
   Member,
   Membership,
+  RoutingPolicyName,
   ServicePolicy,
   Slot,
   Upstream,
@@ -51,7 +52,10 @@
 
   #seenPlacement = '';
 
-  constructor(membership: Membership, documents: DocumentStore) {
+  readonly #routing: RoutingPolicyName;
+
+  constructor(membership: Membership, documents: DocumentStore, routing: RoutingPolicyName) {
+    this.#routing = routing;
     this.membership = membership;
     this.documents = documents;
   }
@@ -98,6 +102,9 @@
     daemons: readonly Member[],
   ): ServiceView {
     const slots = listSlots(upstreams.filter(({ state }) => state === 'live'));
+    if (this.#routing !== 'owned-slots') {
+      return { id: policy.name, policy, upstreams, owners: daemons, ownSlots: slots };
+    }
     const owners = chooseOwners(policy.name, slots.length, daemons, hashText);
     const selfId = this.membership.self.id;
     const ownSlots = owners.some(({ id }) => id === selfId)
--- a/packages/daemon/src/peers/peer-client.ts
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -9,15 +9,12 @@
 
 import type { Endpoint } from '../settings/index.js';
 import type { PeerRouter } from './app.js';
-
-/** Bytes of control messages, heads included as an estimate. */
-export type ControlTraffic = { readonly sent: number; readonly received: number };
+import type { ControlMeter } from './control-meter.js';
 
 const CALL_TIMEOUT_MS = 700;
 const CONNECT_TIMEOUT_MS = 400;
 const KEEP_ALIVE_MS = 30_000;
 const KEPT_PEERS = 1024;
-export const HEAD_BYTES = 190;
 
 type FetchOptions = { readonly body?: unknown; readonly headers?: unknown };
 
@@ -32,15 +29,12 @@
 
   readonly #findEndpoint: (endpoint: Endpoint) => Endpoint;
 
-  #traffic: ControlTraffic = { sent: 0, received: 0 };
+  readonly #meter: ControlMeter;
 
   /** `findEndpoint` says by which address a peer is reached. */
-  constructor(findEndpoint: (endpoint: Endpoint) => Endpoint) {
+  constructor(findEndpoint: (endpoint: Endpoint) => Endpoint, meter: ControlMeter) {
     this.#findEndpoint = findEndpoint;
-  }
-
-  get traffic(): ControlTraffic {
-    return this.#traffic;
+    this.#meter = meter;
   }
 
   /** The typed client of the daemon at an address. */
@@ -76,10 +70,7 @@
       bodyTimeout: CALL_TIMEOUT_MS,
     });
     const text = await response.body.text();
-    this.#traffic = {
-      sent: this.#traffic.sent + body.length + HEAD_BYTES,
-      received: this.#traffic.received + text.length + HEAD_BYTES,
-    };
+    this.#meter.recordCall(body.length, text.length);
     return {
       ok: response.statusCode < 400,
       status: response.statusCode,
--- a/packages/daemon/src/peers/server.ts
+++ b/packages/daemon/src/peers/server.ts
@@ -18,11 +18,13 @@
 import type { Settings } from '../settings/index.js';
 import { createPeerRouter } from './app.js';
 import type { PeerHandlers, PeerRouter } from './app.js';
+import type { ControlMeter } from './control-meter.js';
 
 export type PeerServerPorts = {
   readonly settings: Settings;
   readonly path: RequestPath;
   readonly handlers: PeerHandlers;
+  readonly meter: ControlMeter;
 };
 
 type Handle = (arrival: Arrival) => Promise<Answer>;
@@ -50,12 +52,17 @@
 
 /** Creates the peers' listener. */
 export async function createPeerApp(ports: PeerServerPorts): Promise<FastifyInstance> {
-  const { settings, path, handlers } = ports;
+  const { settings, path, handlers, meter } = ports;
   const countFree = (url: string): number => path.countFree(url.split(/[/?]/, 2)[1] ?? '');
   const app = createHttpApp(settings, false);
   const options: FastifyTRPCPluginOptions<PeerRouter>['trpcOptions'] = {
     router: createPeerRouter(handlers),
   };
+  app.addHook('onResponse', async (request, reply) => {
+    if (!request.url.startsWith('/trpc')) return;
+    const requestBytes = Number(request.headers['content-length'] ?? 0);
+    meter.recordCall(requestBytes, Number(reply.getHeader('content-length') ?? 0));
+  });
   await app.register(fastifyTRPCPlugin, { prefix: '/trpc', trpcOptions: options });
   await app.register(async (scope) => {
     acceptAnyBody(scope);
--- a/packages/daemon/src/platform/log.ts
+++ b/packages/daemon/src/platform/log.ts
@@ -7,6 +7,7 @@
 import type { ConsolaInstance, LogObject } from 'consola';
 
 import type { Settings } from '../settings/index.js';
+import { LineWriter } from './line-writer.js';
 
 export type LogFields = Readonly<Record<string, unknown>>;
 
@@ -21,7 +22,7 @@
 
 type LogArguments = readonly [string, LogFields | undefined];
 
-function printLine(daemonId: string, entry: LogObject): void {
+function printLine(writer: LineWriter, daemonId: string, entry: LogObject): void {
   const [event, fields] = entry.args as unknown as LogArguments;
   const line = {
     time: entry.date.toISOString(),
@@ -30,13 +31,14 @@
     event,
     ...fields,
   };
-  process.stdout.write(`${JSON.stringify(line)}\n`);
+  writer.write(JSON.stringify(line));
 }
 
 function createReporter(daemonId: string): ConsolaInstance {
+  const writer = new LineWriter();
   return createConsola({
     throttle: 0,
-    reporters: [{ log: (entry) => printLine(daemonId, entry) }],
+    reporters: [{ log: (entry) => printLine(writer, daemonId, entry) }],
   });
 }
 
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -12,6 +12,7 @@
 import type { AnswerHeaders, AttemptResult, Job } from './types.js';
 
 export const OUTCOME_HEADER = 'baobabline-outcome';
+export const LOAD_HEADER = 'baobabline-load';
 export const DRAINING_HEADER = 'baobabline-draining';
 
 export type AttemptTarget = {
@@ -172,10 +173,21 @@
     this.#resolveDone(this.#buildResult(this.#state as AttemptEnd, detail));
   }
 
+  #readLoad(): number | undefined {
+    const value = this.#headers[LOAD_HEADER];
+    return value === undefined ? undefined : Number(value);
+  }
+
   #buildResult(end: AttemptEnd, detail: string | undefined): AttemptResult {
     const draining = this.#headers[DRAINING_HEADER] === 'true';
-    if (end.kind === 'failed') return { end, draining, detail };
+    const reportedLoad = this.#readLoad();
+    if (end.kind === 'failed') return { end, draining, reportedLoad, detail };
     const body = this.#stream ?? Buffer.concat(this.#chunks);
-    return { end, draining, answer: { status: this.#status, headers: this.#headers, body } };
+    return {
+      end,
+      draining,
+      reportedLoad,
+      answer: { status: this.#status, headers: this.#headers, body },
+    };
   }
 }
--- a/packages/daemon/src/requests/headers.ts
+++ b/packages/daemon/src/requests/headers.ts
@@ -28,6 +28,7 @@
   'baobabline-refused',
   'baobabline-outcome',
   'baobabline-draining',
+  'baobabline-load',
   FREE_HEADER,
   WAIT_HEADER,
 ]);
--- a/packages/daemon/src/requests/request-path.ts
+++ b/packages/daemon/src/requests/request-path.ts
@@ -191,7 +191,10 @@
   }
 
   #checkQuarantine(job: Job): void {
-    if (this.#ports.crashReports.isQuarantined(job.fingerprint)) {
+    if (
+      !this.#ports.crashReports.isEmpty &&
+      this.#ports.crashReports.isQuarantined(job.fingerprint)
+    ) {
       throw createRefusal('requestPoisonous');
     }
   }
@@ -299,10 +302,8 @@
   #choosePlace(job: Job, tried: readonly string[]): Place | undefined {
     const { service } = job.head;
     const own = tried.includes(this.#selfId) ? undefined : this.#ports.findService(service);
+    if (own?.pool.hasFreeSlot() === true) return { kind: 'here' };
     const canRunHere = own?.pool.hasUsableSlots() ?? false;
-    if (canRunHere && own && own.pool.countFree() > 0 && own.pool.waitingCount === 0) {
-      return { kind: 'here' };
-    }
     const roomy = tried.length + 1 < MAX_PLACES ? this.#drawRoomyPeer(service, tried) : undefined;
     if (roomy) return { kind: 'peer', member: roomy, mayWait: false };
     if (canRunHere) return { kind: 'here' };
--- a/packages/daemon/src/requests/request-run.ts
+++ b/packages/daemon/src/requests/request-run.ts
@@ -32,7 +32,9 @@
 
 const MAX_ATTEMPTS = 4;
 const HEDGE_SURVIVAL = 0.02;
-const STALE_IDLE_MS = 1000;
+/** Idle time after which something between the ends may have lost a connection. */
+const STALE_IDLE_MS = 5000;
+const STALE_IDLE_REPEATABLE_MS = 30_000;
 const MOVE_AFTER_MS = 20;
 const SERVER_ERROR_STATUS = 500;
 const MS_PER_SECOND = 1000;
@@ -194,7 +196,7 @@
 
   #startAttempt(slot: Slot, now: number): RunningAttempt {
     const link = this.#service.getLink(slot);
-    link.replaceIfIdle(STALE_IDLE_MS, now);
+    link.replaceIfIdle(this.#job.repeatable ? STALE_IDLE_REPEATABLE_MS : STALE_IDLE_MS, now);
     const attempt = new Attempt(this.#job, {
       dispatcher: link.client,
       origin: link.origin,
@@ -291,6 +293,9 @@
     const { id, slot } = running;
     const now = this.#ports.clock.now();
     const { detector } = this.#service;
+    if (result.reportedLoad !== undefined) {
+      this.#service.pool.recordLoad(slot.upstreamId, result.reportedLoad);
+    }
     if (result.draining) this.#ports.recordDraining(slot.upstreamId);
     if (result.answer) {
       const failed = isServerError(result.answer);
--- a/packages/daemon/src/requests/types.ts
+++ b/packages/daemon/src/requests/types.ts
@@ -38,6 +38,8 @@
   readonly answer?: Answer | undefined;
   /** Whether the upstream said that it is leaving. */
   readonly draining: boolean;
+  /** Requests that the upstream said it has, if it did. */
+  readonly reportedLoad?: number | undefined;
   /** What went wrong, for the log. */
   readonly detail?: string | undefined;
 };
--- a/packages/daemon/src/services/service-state.ts
+++ b/packages/daemon/src/services/service-state.ts
@@ -3,6 +3,7 @@
  * what it knows of the upstreams, and the retry budget.
  */
 import {
+  createSlotChooser,
   createSuspicionPolicy,
   Detector,
   Ejections,
@@ -16,6 +17,7 @@
   RandomSource,
   ServicePolicy,
   RequestEnd,
+  RoutingPolicyName,
   Slot,
   SuspicionPolicy,
   SuspicionPolicyName,
@@ -32,6 +34,7 @@
   readonly random: RandomSource;
   readonly reachability: UpstreamReachability;
   readonly suspicion: SuspicionPolicyName;
+  readonly routing: RoutingPolicyName;
   /** The origin at which this daemon reaches an upstream. */
   readonly getOrigin: (upstream: Upstream) => string;
 };
@@ -75,6 +78,7 @@
       clock: ports.clock,
       random: ports.random,
       getStanding: (upstreamId) => this.getStanding(upstreamId),
+      chooser: createSlotChooser(ports.routing),
     });
   }
 
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -2,7 +2,13 @@
  * A daemon's settings: where it listens, where it is, and where peers and the platform are found.
  * The check reports every fault at once and refuses unknown fields.
  */
-import { BaseError, checkShape, formatFault, SUSPICION_POLICIES } from '@baobabline/core';
+import {
+  BaseError,
+  checkShape,
+  formatFault,
+  ROUTING_POLICIES,
+  SUSPICION_POLICIES,
+} from '@baobabline/core';
 import type { Fault } from '@baobabline/core';
 import { readFile } from 'node:fs/promises';
 import { z } from 'zod';
@@ -59,6 +65,8 @@
   keyLifeSeconds: z.number().min(5).max(3600).default(60),
   /** How upstreams are judged; the second way is there to be measured against. */
   suspicion: z.enum(SUSPICION_POLICIES).default('pooled'),
+  /** How slots are shared; all but the first are there to be measured against. */
+  routing: z.enum(ROUTING_POLICIES).default('owned-slots'),
   maxStopSeconds: z.number().min(1).max(600).default(45),
   maxBodyBytes: z
     .int()
--- a/packages/experiments/src/bin.ts
+++ b/packages/experiments/src/bin.ts
@@ -7,26 +7,43 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
+import { ConfigurationExperiment } from './configuration/configuration-experiment.js';
 import { DEPLOYMENT_NAMES } from './deployment/deployments.js';
 import { DetectionExperiment } from './detection/detection-experiment.js';
 import { DETECTION_FAULTS } from './detection/faults.js';
+import { FleetExperiment } from './fleet/fleet-experiment.js';
+import { LimitsExperiment } from './limits/limits-experiment.js';
+import { OnceExperiment } from './once/once-experiment.js';
+import { PathExperiment } from './path/path-experiment.js';
 import { printResult } from './runner/report.js';
+import { SlotsExperiment } from './slots/slots-experiment.js';
+import { StopExperiment } from './stop/stop-experiment.js';
 
-const COMMON = {
-  seed: { type: 'number', default: 1, describe: 'seed of load, service times and choices' },
-  deployment: { choices: DEPLOYMENT_NAMES, default: 'agnirakshak' as const },
-} as const;
+const SEED = { type: 'number', default: 1, describe: 'seed of load and choices' } as const;
+const COUNT = { type: 'number' } as const;
 
 await yargs(hideBin(process.argv))
   .scriptName('experiment')
+  .command(
+    'path',
+    'What a daemon adds to a request, and how many it carries',
+    {
+      seed: SEED,
+      ratePerSecond: { ...COUNT, default: 175 },
+      seconds: { ...COUNT, default: 15 },
+      decisionSampling: { ...COUNT, default: 1 },
+    },
+    async (options) => printResult(await new PathExperiment(options).measure()),
+  )
   .command(
     'detection',
     'Detection time and false ejections, with the baseline beside it',
     {
-      ...COMMON,
+      seed: SEED,
+      deployment: { choices: DEPLOYMENT_NAMES, default: 'agnirakshak' as const },
       fault: { choices: DETECTION_FAULTS, default: 'slow' as const },
-      daemons: { type: 'number', default: 12 },
-      trials: { type: 'number', default: 5 },
+      daemons: { ...COUNT, default: 12 },
+      trials: { ...COUNT, default: 4 },
     },
     async (options) => {
       const experiment = new DetectionExperiment(options);
@@ -36,6 +53,67 @@
       printResult({ deployment, fault, ...figures, baseline });
     },
   )
+  .command(
+    'once',
+    'At most once while daemons and upstreams fail',
+    {
+      seed: SEED,
+      daemons: { ...COUNT, default: 9 },
+      seconds: { ...COUNT, default: 30 },
+      ratePerSecond: { ...COUNT, default: 250 },
+    },
+    async (options) => printResult(await new OnceExperiment(options).measure()),
+  )
+  .command(
+    'stop',
+    'Rolling restart of daemons and retirement of upstreams under load',
+    {
+      seed: SEED,
+      daemons: { ...COUNT, default: 9 },
+      ratePerSecond: { ...COUNT, default: 250 },
+      together: { ...COUNT, default: 2 },
+    },
+    async (options) => printResult(await new StopExperiment(options).measure()),
+  )
+  .command(
+    'slots',
+    'Ways of sharing slots, side by side',
+    { seed: SEED, daemons: { ...COUNT, default: 12 }, secondsPerLoad: { ...COUNT, default: 4 } },
+    async (options) => {
+      const policies = await new SlotsExperiment(options).measure();
+      printResult(Object.fromEntries(policies.map(({ policy, loads }) => [policy, loads])));
+    },
+  )
+  .command(
+    'limits',
+    'Fleet-wide plan limits, whole and split',
+    {
+      seed: SEED,
+      daemons: { ...COUNT, default: 6 },
+      limitPerSecond: { ...COUNT, default: 100 },
+      seconds: { ...COUNT, default: 8 },
+    },
+    async (options) => printResult(await new LimitsExperiment(options).measure()),
+  )
+  .command(
+    'configuration',
+    'How fast a publication is in force, and that none reverts',
+    { seed: SEED, daemons: { ...COUNT, default: 36 }, changes: { ...COUNT, default: 12 } },
+    async (options) => printResult(await new ConfigurationExperiment(options).measure()),
+  )
+  .command(
+    'fleet',
+    'What control costs a daemon at several sizes of the fleet',
+    {
+      seed: SEED,
+      daemons: { type: 'string', default: '6,18,36' },
+      seconds: { ...COUNT, default: 6 },
+    },
+    async ({ seed, daemons, seconds }) => {
+      const sizes = daemons.split(',').map(Number);
+      printResult({ daemons: await new FleetExperiment({ seed, sizes, seconds }).measure() });
+    },
+  )
   .demandCommand(1)
   .strict()
   .parseAsync();
--- a/packages/experiments/src/detection/detection-experiment.ts
+++ b/packages/experiments/src/detection/detection-experiment.ts
@@ -45,16 +45,15 @@
   readonly time: string;
 };
 
-const WARM_UP_MS = 6000;
-const RAMP_S = 3;
-const TRIAL_SPACING_MS = 1500;
+const WARM_UP_MS = 5000;
+const RAMP_S = 2;
+const TRIAL_SPACING_MS = 1200;
 const OBSERVE_MS = 5000;
-/** After so long without work an upstream's next request belongs to the return trickle. */
-const QUIET_MS = 1200;
+const QUIET_MS = 3500;
 const MEAN_SERVICE_MS = 55;
 const LOAD_SHARE = 0.6;
 const WAVE_SHARE = 1;
-const WAVE_STARTS_S = 8;
+const WAVE_STARTS_S = 6;
 const BOOK_SHARE = 0.2;
 const DEADLINE_MS = 3000;
 const CLIENTS = 60;
@@ -62,28 +61,50 @@
 const FLOOR_POLL_MS = 200;
 const POISON_INTERVAL_MS = 400;
 
-/** Milliseconds from the fault to the last ordinary request; undefined if work never stopped. */
-export function computeDetectionMs(
-  arrivals: readonly number[],
-  faultAt: number,
-  observedUntil: number,
-): number | undefined {
-  const after = [...arrivals.filter((at) => at > faultAt), observedUntil];
-  const quiet = after.findIndex((at, index) => {
-    const previous = index === 0 ? faultAt : (after[index - 1] as number);
-    return at - previous >= QUIET_MS;
-  });
-  if (quiet < 0) return undefined;
-  return quiet === 0 ? 0 : (after[quiet - 1] as number) - faultAt;
+/** What one trial showed, in wall-clock milliseconds. */
+export type TrialRecord = {
+  readonly arrivals: readonly number[];
+  readonly faultAt: number;
+  readonly observedUntil: number;
+  /** When a daemon first ejected the upstream; undefined if none did. */
+  readonly ejectedAt: number | undefined;
+  /** When its first return trickle may have begun. */
+  readonly onTrialAt: number | undefined;
+};
+
+/**
+ * Milliseconds from the fault to the last ordinary request; undefined if work never stopped.
+ * An upstream that no daemon ejected counts as found only if it has been without work for longer
+ * than a stuck request can take.
+ */
+export function computeDetectionMs(record: TrialRecord): number | undefined {
+  const { arrivals, faultAt, observedUntil, ejectedAt, onTrialAt } = record;
+  const ordinary = arrivals.filter((at) => at > faultAt && at < (onTrialAt ?? observedUntil));
+  const last = ordinary.at(-1) ?? faultAt;
+  if (ejectedAt === undefined && observedUntil - last < QUIET_MS) return undefined;
+  return last - faultAt;
 }
 
-function listEjections(daemons: readonly DaemonProcess[]): readonly EjectionEvent[] {
+function listChanges(daemons: readonly DaemonProcess[]): readonly EjectionEvent[] {
   return daemons
     .flatMap(({ events }) => events)
-    .filter(({ event, change }) => event === 'ejection' && change === 'ejected')
+    .filter(({ event }) => event === 'ejection')
     .map((line) => line as unknown as EjectionEvent);
 }
 
+function findFirstChange(
+  changes: readonly EjectionEvent[],
+  change: string,
+  upstream: string,
+  after: number,
+): number | undefined {
+  const times = changes
+    .filter((row) => row.change === change && row.upstream === upstream)
+    .map(({ time }) => Date.parse(time))
+    .filter((at) => at >= after);
+  return times.length > 0 ? Math.min(...times) : undefined;
+}
+
 export class DetectionExperiment {
   readonly #options: DetectionOptions;
 
@@ -206,12 +227,15 @@
     time: { readonly startedAt: number; readonly observedUntil: number },
   ): DetectionFigures {
     const sick = isSickness(this.#options.fault) ? trials : [];
+    const changes = listChanges(harness.daemons);
     const detected = sick.map(({ upstream, startedAt }) =>
-      computeDetectionMs(
-        upstream.arrivals.map(({ at }) => at),
-        startedAt,
-        time.observedUntil,
-      ),
+      computeDetectionMs({
+        arrivals: upstream.arrivals.map(({ at }) => at),
+        faultAt: startedAt,
+        observedUntil: time.observedUntil,
+        ejectedAt: findFirstChange(changes, 'ejected', upstream.settings.id, startedAt),
+        onTrialAt: findFirstChange(changes, 'on-trial', upstream.settings.id, startedAt),
+      }),
     );
     const found = detected.filter((value): value is number => value !== undefined);
     const hours = ((time.observedUntil - time.startedAt) * harness.upstreams.length) / MS_PER_HOUR;
@@ -230,7 +254,8 @@
 
   /** Healthy upstreams that any daemon ejected; each counts once. */
   #countFalseEjections(harness: FleetHarness, sick: readonly Trial[]): number {
-    const wrong = listEjections(harness.daemons).filter(({ upstream, time }) => {
+    const wrong = listChanges(harness.daemons).filter(({ upstream, change, time }) => {
+      if (change !== 'ejected') return false;
       const trial = sick.find((candidate) => candidate.upstream.settings.id === upstream);
       return !trial || Date.parse(time) < trial.startedAt;
     });
--- a/packages/experiments/src/harness/daemon-process.ts
+++ b/packages/experiments/src/harness/daemon-process.ts
@@ -119,6 +119,14 @@
     return (await response.body.json()) as Status;
   }
 
+  /** Reads one metric without labels. */
+  async readMetric(name: string): Promise<number> {
+    const response = await sendHttp(`${this.operatorUrl}/metrics`);
+    const text = await response.body.text();
+    const line = text.split('\n').find((row) => row.startsWith(`${name} `));
+    return Number(line?.split(' ')[1] ?? Number.NaN);
+  }
+
   /** Asks for a planned stop and resolves when the process has ended. */
   async stop(): Promise<void> {
     this.#child.kill('SIGTERM');
--- a/packages/experiments/src/harness/fleet-harness.ts
+++ b/packages/experiments/src/harness/fleet-harness.ts
@@ -8,6 +8,7 @@
 import type { Deployment, ServiceSize } from '../deployment/deployments.js';
 import { DaemonProcess } from './daemon-process.js';
 import type { DaemonSettings } from './daemon-process.js';
+import type { PartitionMesh } from './partition-mesh.js';
 
 export type HarnessOptions = {
   readonly deployment: Deployment;
@@ -17,6 +18,8 @@
   readonly answerBytes?: number;
   /** Puts a fault-injecting proxy before every upstream. */
   readonly proxied?: boolean;
+  /** Links between daemons that can be cut. */
+  readonly mesh?: PartitionMesh;
   /** Settings that all daemons get besides the generated ones. */
   readonly settings?: Partial<DaemonSettings>;
 };
@@ -71,6 +74,11 @@
     return this.#daemons;
   }
 
+  /** Version of the lists published last. */
+  get listsVersion(): number {
+    return this.#listsVersion;
+  }
+
   get upstreams(): readonly UpstreamStandIn[] {
     return this.#upstreams;
   }
@@ -91,6 +99,7 @@
     await Promise.all(this.#daemons.map((daemon) => daemon.kill()));
     await Promise.all(this.#upstreams.map((upstream) => upstream.crash().catch(() => undefined)));
     await Promise.all([...this.#proxies.values()].map((proxy) => proxy.stop()));
+    await this.options.mesh?.stop();
     await Promise.all([this.configuration.stop(), this.vmListService.stop()]);
   }
 
@@ -221,6 +230,7 @@
       configurationService: { address: LOOPBACK, port: this.configuration.port },
       vmListService: { address: LOOPBACK, port: this.vmListService.port },
       ...this.options.settings,
+      ...this.options.mesh?.buildSettings(index),
       ...extra,
     };
   }
--- a/packages/stand-ins/src/upstream/upstream.ts
+++ b/packages/stand-ins/src/upstream/upstream.ts
@@ -192,6 +192,7 @@
     const headers = {
       'baobabline-outcome': 'not-run',
       'retry-after': '1',
+      'baobabline-load': String(this.#active),
       ...(this.#draining ? { 'baobabline-draining': 'true' } : {}),
     };
     response.writeHead(503, headers).end();
@@ -288,6 +289,7 @@
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
       'x-request-id': requestId,
+      'baobabline-load': String(this.#active),
       ...(this.#draining ? { 'baobabline-draining': 'true' } : {}),
     };
     response.writeHead(200, headers).end(text);
