--- a/packages/core/src/routing/slot-pool.ts
+++ b/packages/core/src/routing/slot-pool.ts
@@ -149,6 +149,7 @@
 
   /** Expires what waited too long and grants slots that have become usable. */
   runTick(): void {
+    if (this.#queue.length === 0) return;
     this.#queue.takeExpired(this.#ports.clock.now()).forEach(({ payload }) => payload.onExpired());
     this.#slots.filter((slot) => this.#isFree(slot)).forEach(() => this.#grantNext());
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -313,7 +313,10 @@
       documents: this.#documents,
       client: this.#client,
       services: this.#kvClients,
-      onAccepted: () => this.#refreshView(),
+      onAccepted: () => {
+        this.#gossip.recordNews();
+        this.#refreshView();
+      },
     });
   }
 
--- a/packages/daemon/src/entries/entry-answers.ts
+++ b/packages/daemon/src/entries/entry-answers.ts
@@ -38,6 +38,8 @@
   answer(query: ServiceEntryQuery): EntryAnswer {
     const { clock, view, holdSeconds, keyLifeSeconds } = this.#ports;
     const { self } = view.membership;
+    // A key of a daemon that leaves could outlive it, and its resends would find nobody.
+    if (self.state !== 'serving') throw createRefusal('stopping', { retryAfterSeconds: 1 });
     const service = query.service === undefined ? undefined : view.services.get(query.service);
     if (query.service !== undefined && !service) throw createRefusal('unknownService');
     const expiresAt = clock.now() + keyLifeSeconds * MS_PER_SECOND;
--- a/packages/daemon/src/fleet/gossip.ts
+++ b/packages/daemon/src/fleet/gossip.ts
@@ -30,6 +30,9 @@
 
 const HELPERS = 2;
 const ROUNDS_BETWEEN_SEEDS = 10;
+/** Without news only every so many rounds bring an exchange. */
+const CALM_ROUNDS = 3;
+const NEWS_ROUNDS = 8;
 
 function toEndpoint(member: Member): Endpoint {
   return { address: member.address, port: member.peerPort };
@@ -40,14 +43,20 @@
 
   #round = 0;
 
+  #newsUntil = 0;
+
+  readonly #phase: number;
+
   constructor(ports: GossipPorts) {
     this.#ports = ports;
+    this.#phase = Math.floor(ports.random.next() * CALM_ROUNDS);
   }
 
   /** Runs one round; failures are noted in the membership, never thrown. */
   async runRound(): Promise<void> {
     this.#round += 1;
     this.#ports.membership.runTick();
+    if (!this.#isRoundDue()) return;
     const peer = this.#ports.membership.chooseExchangePeer();
     const seedRound = this.#round % ROUNDS_BETWEEN_SEEDS === 0;
     await Promise.all([
@@ -56,6 +65,17 @@
     ]);
   }
 
+  /** Makes the next rounds quick, as after a new publication. */
+  recordNews(): void {
+    this.#newsUntil = this.#round + NEWS_ROUNDS;
+  }
+
+  #isRoundDue(): boolean {
+    const hasNews = this.#ports.membership.hasNews() || this.#round <= this.#newsUntil;
+    const isSeedRound = this.#round % ROUNDS_BETWEEN_SEEDS === 0;
+    return hasNews || isSeedRound || (this.#round + this.#phase) % CALM_ROUNDS === 0;
+  }
+
   /** Asks seeds for all they know; resolves with whether any answered. */
   async join(): Promise<boolean> {
     const answers = await Promise.all(
--- a/packages/daemon/src/fleet/peer-reports.ts
+++ b/packages/daemon/src/fleet/peer-reports.ts
@@ -25,6 +25,7 @@
 const URGENT_INTERVAL_MS = 100;
 const BUSY_INTERVAL_MS = 200;
 const REGULAR_INTERVAL_MS = 500;
+const IDLE_INTERVAL_MS = 3000;
 const CRASH_AGE_MS = 1500;
 
 export class PeerReports {
@@ -59,8 +60,8 @@
   }
 
   #getCalmInterval(services: readonly ServiceState[]): number {
-    const isBusy = services.some(({ pool }) => pool.busyCount * 2 > pool.slotCount);
-    return isBusy ? BUSY_INTERVAL_MS : REGULAR_INTERVAL_MS;
+    if (services.some(({ pool }) => pool.busyCount * 2 > pool.slotCount)) return BUSY_INTERVAL_MS;
+    return services.some(({ pool }) => pool.busyCount > 0) ? REGULAR_INTERVAL_MS : IDLE_INTERVAL_MS;
   }
 
   #listEvidence(service: ServiceState): readonly Evidence[] {
--- a/packages/experiments/src/bin.ts
+++ b/packages/experiments/src/bin.ts
@@ -8,6 +8,7 @@
 import { hideBin } from 'yargs/helpers';
 
 import { ConfigurationExperiment } from './configuration/configuration-experiment.js';
+import { Demo } from './demo/demo.js';
 import { DEPLOYMENT_NAMES } from './deployment/deployments.js';
 import { DetectionExperiment } from './detection/detection-experiment.js';
 import { DETECTION_FAULTS } from './detection/faults.js';
@@ -24,6 +25,12 @@
 
 await yargs(hideBin(process.argv))
   .scriptName('experiment')
+  .command(
+    'demo',
+    'A small deployment in a wave, with a sick upstream and a stopped daemon',
+    { seed: SEED, seconds: { ...COUNT, default: 15 } },
+    async (options) => new Demo(options).run(),
+  )
   .command(
     'path',
     'What a daemon adds to a request, and how many it carries',
--- a/packages/experiments/src/stop/stop-experiment.ts
+++ b/packages/experiments/src/stop/stop-experiment.ts
@@ -62,6 +62,7 @@
       await this.#replaceDaemons(this.#harness.daemons);
       await wait(SETTLE_MS);
       await load.stop();
+      printProgress(`codes of cut requests: ${this.#listCutCodes(load).join(', ')}`);
       const { unknown, cutShort, crossed, notRun, sent, answered } = load.counts;
       return {
         stops: this.#stopSeconds.length,
@@ -77,6 +78,10 @@
     }
   }
 
+  #listCutCodes({ outcomes }: Load): readonly number[] {
+    return outcomes.filter(({ kind }) => kind === 'unknown').map(({ code }) => code);
+  }
+
   #createLoad(): Load {
     const { deployment } = this.#harness.options;
     return new Load({
