--- a/packages/client/src/fleet-client.ts
+++ b/packages/client/src/fleet-client.ts
@@ -25,6 +25,9 @@
 const MAX_TRIES = 6;
 const PAUSE_BETWEEN_TRIES_MS = 50;
 const ENTRY_TIMEOUT_MS = 1000;
+const MS_PER_SECOND = 1000;
+/** Over the plan's rate, no capacity, queue full, upstreams shed. */
+const FULL_CODES: readonly number[] = [200, 201, 202, 203];
 const DEADLINE_GRACE_MS = 500;
 
 async function wait(milliseconds: number): Promise<void> {
@@ -33,6 +36,18 @@
   });
 }
 
+/**
+ * Pause before the next try. Where the fleet is full it says when to come back, and trying sooner
+ * would only feed the wave; the random part keeps callers from coming back together.
+ */
+function computePauseMs(tryNumber: number, result: CallerResult): number {
+  const backOff = PAUSE_BETWEEN_TRIES_MS * 2 ** (tryNumber - 1);
+  if (result.kind !== 'not-run') return backOff;
+  const isFull = FULL_CODES.includes(result.code);
+  const asked = isFull ? (result.retryAfterSeconds ?? 0) * MS_PER_SECOND : 0;
+  return Math.max(backOff, asked) * (0.5 + Math.random());
+}
+
 export class FleetClient {
   readonly #settings: ClientSettings;
 
@@ -78,7 +93,9 @@
     if (result.kind === 'answered' || !this.#canTryAgain(attempt, result.code, timeLeft)) {
       return this.#finish(result, attempt.mayHaveRun);
     }
-    await wait(PAUSE_BETWEEN_TRIES_MS);
+    const pauseMs = computePauseMs(attempt.number, result);
+    if (pauseMs >= timeLeft) return this.#finish(result, attempt.mayHaveRun);
+    await wait(pauseMs);
     return this.#tryFrom({ ...attempt, number: attempt.number + 1, mayHaveRun });
   }
 
@@ -108,7 +125,13 @@
         readonly outcome: 'not-run' | 'unknown';
         readonly detail: string;
       };
-      return { kind: problem.outcome, code: Number(refused), detail: problem.detail, ...base };
+      return {
+        kind: problem.outcome,
+        code: Number(refused),
+        detail: problem.detail,
+        retryAfterSeconds: Number(response.headers['retry-after'] ?? 0),
+        ...base,
+      };
     } catch (error) {
       this.#held.delete(request.service);
       return { kind: 'unknown', code: 0, detail: (error as Error).message, ...base };
--- a/packages/client/src/types.ts
+++ b/packages/client/src/types.ts
@@ -38,6 +38,8 @@
   /** Numbered result code; 0 when no daemon answered. */
   readonly code: number;
   readonly detail: string;
+  /** When the fleet asked to come back; 0 if it did not. */
+  readonly retryAfterSeconds?: number | undefined;
   readonly requestId: string;
   readonly operation: string;
   readonly tries: number;
--- a/packages/experiments/src/bin.ts
+++ b/packages/experiments/src/bin.ts
@@ -3,11 +3,14 @@
  * Experiments over real processes. Each prints progress on standard error and one JSON object as
  * its last line.
  */
+import { writeFile } from 'node:fs/promises';
 import process from 'node:process';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
 import { ConfigurationExperiment } from './configuration/configuration-experiment.js';
+import { CurveExperiment } from './curve/curve-experiment.js';
+import { buildCurveSvg } from './curve/draw-curve.js';
 import { Demo } from './demo/demo.js';
 import { DEPLOYMENT_NAMES } from './deployment/deployments.js';
 import { DetectionExperiment } from './detection/detection-experiment.js';
@@ -60,6 +63,22 @@
       printResult({ deployment, fault, ...figures, baseline });
     },
   )
+  .command(
+    'curve',
+    'Detection time against false ejections over the threshold, by replay',
+    {
+      seed: SEED,
+      deployment: { choices: DEPLOYMENT_NAMES, default: 'agnirakshak' as const },
+      seconds: { ...COUNT, default: 600 },
+      trials: { ...COUNT, default: 20 },
+      out: { type: 'string', describe: 'write the plot (SVG) here' },
+    },
+    async ({ out, ...options }) => {
+      const points = new CurveExperiment(options).measure();
+      if (out !== undefined) await writeFile(out, buildCurveSvg(options.deployment, points));
+      printResult({ deployment: options.deployment, points });
+    },
+  )
   .command(
     'once',
     'At most once while daemons and upstreams fail',
