--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -6,7 +6,7 @@
 import yargs from 'yargs';
 
 import { CheckError, runCheckLists, runCheckSettings } from './commands/checks.js';
-import { runDaemon } from './commands/daemon.js';
+import { runDaemonCommand } from './commands/daemon.js';
 import { runEntries, runExplain, runStatus } from './commands/questions.js';
 
 const EXIT_FAILED = 1;
@@ -42,7 +42,7 @@
         settings: { type: 'string', describe: 'settings file (JSON)' },
         'print-schema': { type: 'boolean', describe: 'print the JSON Schema of the settings' },
       },
-      async (args) => run(runDaemon(args)),
+      async (args) => run(runDaemonCommand(args)),
     )
     .command(
       'check-settings <file>',
--- a/packages/core/src/keys/keys.test.ts
+++ b/packages/core/src/keys/keys.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 
-import { createRefusal, toRequestError } from '../results/index.js';
+import { createRefusal } from '../results/index.js';
+import { readRefusalName } from '../results/read-refusal-name.js';
 import { formatKeyPrefix, KeyLedger, parseKey } from './index.js';
 
 const OWNER = { daemonId: 'entry-1', incarnation: 7 };
@@ -10,15 +11,6 @@
   return `${formatKeyPrefix({ ...OWNER, expiresAt })}${nonce.padEnd(8, '0')}`;
 }
 
-function readRefusal(run: () => unknown): string {
-  try {
-    run();
-    return 'none';
-  } catch (error) {
-    return toRequestError(error).result.name;
-  }
-}
-
 describe('keys', () => {
   it('are read back as they were issued', () => {
     expect(parseKey(createKey('abc'))).to.deep.equal({ ...OWNER, expiresAt: 1000 });
@@ -67,7 +59,7 @@
     ledger.settle(key, { kind: 'answered', answer: 'yes', bytes: 3 });
     ledger.runTick(1000);
     expect(ledger.size).to.equal(0);
-    expect(readRefusal(() => ledger.begin(key, 'f', 1000))).to.equal('key-expired');
+    expect(readRefusalName(() => ledger.begin(key, 'f', 1000))).to.equal('key-expired');
   });
 
   it('keeps a running key past its expiry', () => {
@@ -80,16 +72,16 @@
   it('refuses new keys when it is full, by count and by bytes', () => {
     const ledger = new KeyLedger<string>(OWNER, SETTINGS);
     ['a', 'b', 'c'].forEach((nonce) => ledger.begin(createKey(nonce), 'f', 0));
-    expect(readRefusal(() => ledger.begin(createKey('d'), 'f', 0))).to.equal('keys-full');
+    expect(readRefusalName(() => ledger.begin(createKey('d'), 'f', 0))).to.equal('keys-full');
     const other = new KeyLedger<string>(OWNER, SETTINGS);
     other.begin(createKey('a'), 'f', 0);
     other.settle(createKey('a'), { kind: 'answered', answer: 'yes', bytes: 100 });
-    expect(readRefusal(() => other.begin(createKey('b'), 'f', 0))).to.equal('keys-full');
+    expect(readRefusalName(() => other.begin(createKey('b'), 'f', 0))).to.equal('keys-full');
   });
 
   it('refuses a key that belongs to another request', () => {
     const ledger = new KeyLedger<string>(OWNER, SETTINGS);
     ledger.begin(createKey('a'), 'f', 0);
-    expect(readRefusal(() => ledger.begin(createKey('a'), 'g', 0))).to.equal('key-reused');
+    expect(readRefusalName(() => ledger.begin(createKey('a'), 'g', 0))).to.equal('key-reused');
   });
 });
--- a/packages/core/src/requests/requests.test.ts
+++ b/packages/core/src/requests/requests.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 
-import { toRequestError } from '../results/index.js';
+import { readRefusalName } from '../results/read-refusal-name.js';
 import { parseRequest, PlanIndex } from './index.js';
 import type { RequestHead } from './index.js';
 
@@ -13,15 +13,6 @@
   return parseRequest({ method: 'GET', url, headers: { ...HEADERS, ...changes } }, () => 'id-1');
 }
 
-function readRefusal(run: () => unknown): string {
-  try {
-    run();
-    return 'none';
-  } catch (error) {
-    return toRequestError(error).result.name;
-  }
-}
-
 describe('parseRequest', () => {
   it('reads path, service and headers', () => {
     expect(parse()).to.deep.include({
@@ -51,12 +42,12 @@
   ];
   bad.forEach(([what, headers, name]) => {
     it(`refuses ${what}`, () => {
-      expect(readRefusal(() => parse(headers))).to.equal(name);
+      expect(readRefusalName(() => parse(headers))).to.equal(name);
     });
   });
 
   it('refuses a path without a service', () => {
-    expect(readRefusal(() => parse({}, '/'))).to.equal('unknown-service');
+    expect(readRefusalName(() => parse({}, '/'))).to.equal('unknown-service');
   });
 });
 
@@ -89,11 +80,13 @@
   });
 
   it('refuses what the plan does not allow', () => {
-    expect(readRefusal(() => index.admit(parse({}, '/atelier/x'), 0))).to.equal('unknown-service');
+    expect(readRefusalName(() => index.admit(parse({}, '/atelier/x'), 0))).to.equal(
+      'unknown-service',
+    );
     const stranger = parse({ 'baobabline-customer': 'nobody' });
-    expect(readRefusal(() => index.admit(stranger, 0))).to.equal('unknown-customer');
+    expect(readRefusalName(() => index.admit(stranger, 0))).to.equal('unknown-customer');
     const kind = parse({ 'baobabline-kind': 'book' });
-    expect(readRefusal(() => index.admit(kind, 0))).to.equal('kind-not-in-plan');
-    expect(readRefusal(() => index.admit(parse(), 11))).to.equal('body-too-large');
+    expect(readRefusalName(() => index.admit(kind, 0))).to.equal('kind-not-in-plan');
+    expect(readRefusalName(() => index.admit(parse(), 11))).to.equal('body-too-large');
   });
 });
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 export { Daemon } from './daemon.js';
 export type { DaemonPorts } from './daemon.js';
+export { runDaemon } from './run-daemon.js';
 export type { Status } from './operators/status.js';
 export {
   buildSettingsSchema,
--- a/packages/experiments/src/configuration/configuration-experiment.ts
+++ b/packages/experiments/src/configuration/configuration-experiment.ts
@@ -5,7 +5,7 @@
 import { getDeployment } from '../deployment/deployments.js';
 import type { DaemonProcess } from '../harness/daemon-process.js';
 import { FleetHarness, waitFor } from '../harness/fleet-harness.js';
-import { Load } from '../harness/load.js';
+import type { Load } from '../harness/load.js';
 import { computeQuantile, printProgress, runInTurn, wait } from '../runner/report.js';
 
 export type ConfigurationOptions = {
@@ -97,10 +97,7 @@
   }
 
   #createLoad(): Load {
-    return new Load({
-      deployment: this.#harness.options.deployment,
-      seeds: this.#harness.seeds,
-      seed: this.#options.seed,
+    return this.#harness.createLoad({
       clients: 20,
       getRate: () => RATE_PER_SECOND,
       bookShare: 0.2,
--- a/packages/experiments/src/demo/demo.ts
+++ b/packages/experiments/src/demo/demo.ts
@@ -7,7 +7,7 @@
 import { getDeployment } from '../deployment/deployments.js';
 import type { DaemonProcess } from '../harness/daemon-process.js';
 import { FleetHarness } from '../harness/fleet-harness.js';
-import { Load } from '../harness/load.js';
+import type { Load } from '../harness/load.js';
 import { wait } from '../runner/report.js';
 
 export type DemoOptions = { readonly seed: number; readonly seconds: number };
@@ -66,12 +66,8 @@
   }
 
   #createLoad(): Load {
-    const { seconds, seed } = this.#options;
-    const { deployment } = this.#harness.options;
-    return new Load({
-      deployment,
-      seeds: this.#harness.seeds,
-      seed,
+    const { seconds } = this.#options;
+    return this.#harness.createLoad({
       clients: CLIENTS,
       getRate: (at) => {
         const wave = Math.sin((Math.PI * Math.min(at, seconds)) / seconds) ** 2;
--- a/packages/experiments/src/detection/detection-experiment.ts
+++ b/packages/experiments/src/detection/detection-experiment.ts
@@ -11,7 +11,7 @@
 import type { DeploymentName } from '../deployment/deployments.js';
 import type { DaemonProcess } from '../harness/daemon-process.js';
 import { FleetHarness } from '../harness/fleet-harness.js';
-import { Load } from '../harness/load.js';
+import type { Load } from '../harness/load.js';
 import { computeQuantile, printProgress, runInTurn, wait } from '../runner/report.js';
 import { applyFault, isSickness } from './faults.js';
 import type { DetectionFault, FaultTarget } from './faults.js';
@@ -166,10 +166,7 @@
     const slots = deployment.services.reduce((sum, size) => sum + size.instances * size.slots, 0);
     const fullRate = (slots * 1000) / MEAN_SERVICE_MS;
     const isWave = this.#options.fault === 'wave';
-    return new Load({
-      deployment,
-      seeds: harness.seeds,
-      seed: this.#options.seed,
+    return harness.createLoad({
       clients: CLIENTS,
       getRate: (seconds) =>
         fullRate *
--- a/packages/experiments/src/harness/fleet-harness.ts
+++ b/packages/experiments/src/harness/fleet-harness.ts
@@ -8,6 +8,8 @@
 import type { Deployment, ServiceSize } from '../deployment/deployments.js';
 import { DaemonProcess } from './daemon-process.js';
 import type { DaemonSettings } from './daemon-process.js';
+import { Load } from './load.js';
+import type { LoadOptions } from './load.js';
 import type { PartitionMesh } from './partition-mesh.js';
 
 export type HarnessOptions = {
@@ -103,6 +105,12 @@
     await Promise.all([this.configuration.stop(), this.vmListService.stop()]);
   }
 
+  /** Creates load on this deployment; callers start from the first daemons. */
+  createLoad(options: Omit<LoadOptions, 'deployment' | 'seeds' | 'seed'>): Load {
+    const { deployment, seed } = this.options;
+    return new Load({ deployment, seed, seeds: this.seeds, ...options });
+  }
+
   /** Publishes the lists with the next version and returns it. */
   publishLists(): number {
     this.#listsVersion += 1;
--- a/packages/experiments/src/once/once-experiment.ts
+++ b/packages/experiments/src/once/once-experiment.ts
@@ -9,8 +9,7 @@
 import { getDeployment } from '../deployment/deployments.js';
 import type { DaemonProcess } from '../harness/daemon-process.js';
 import { FleetHarness } from '../harness/fleet-harness.js';
-import { Load } from '../harness/load.js';
-import type { OperationOutcome } from '../harness/load.js';
+import type { Load, OperationOutcome } from '../harness/load.js';
 import { printProgress, wait } from '../runner/report.js';
 
 export type OnceOptions = {
@@ -82,11 +81,7 @@
   }
 
   #createLoad(): Load {
-    const { deployment } = this.#harness.options;
-    return new Load({
-      deployment,
-      seeds: this.#harness.seeds,
-      seed: this.#options.seed,
+    return this.#harness.createLoad({
       clients: CLIENTS,
       getRate: () => this.#options.ratePerSecond,
       bookShare: BOOK_SHARE,
--- a/packages/experiments/src/slots/slots-experiment.ts
+++ b/packages/experiments/src/slots/slots-experiment.ts
@@ -7,7 +7,7 @@
 
 import { getDeployment } from '../deployment/deployments.js';
 import { FleetHarness } from '../harness/fleet-harness.js';
-import { Load } from '../harness/load.js';
+import type { Load } from '../harness/load.js';
 import { printProgress, runInTurn, wait } from '../runner/report.js';
 
 export type SlotsOptions = {
@@ -100,10 +100,7 @@
   #createLoad(harness: FleetHarness, share: number): Load {
     const { deployment } = harness.options;
     const slots = deployment.services.reduce((sum, size) => sum + size.instances * size.slots, 0);
-    return new Load({
-      deployment,
-      seeds: harness.seeds,
-      seed: this.#options.seed,
+    return harness.createLoad({
       clients: CLIENTS,
       getRate: () => (share * slots * 1000) / MEAN_SERVICE_MS,
       bookShare: BOOK_SHARE,
--- a/packages/experiments/src/stop/stop-experiment.ts
+++ b/packages/experiments/src/stop/stop-experiment.ts
@@ -7,7 +7,7 @@
 import { getDeployment } from '../deployment/deployments.js';
 import type { DaemonProcess } from '../harness/daemon-process.js';
 import { FleetHarness } from '../harness/fleet-harness.js';
-import { Load } from '../harness/load.js';
+import type { Load } from '../harness/load.js';
 import { printProgress, runInTurn, wait } from '../runner/report.js';
 
 export type StopOptions = {
@@ -83,11 +83,7 @@
   }
 
   #createLoad(): Load {
-    const { deployment } = this.#harness.options;
-    return new Load({
-      deployment,
-      seeds: this.#harness.seeds,
-      seed: this.#options.seed,
+    return this.#harness.createLoad({
       clients: CLIENTS,
       getRate: () => this.#options.ratePerSecond,
       bookShare: BOOK_SHARE,
