Choose dispatchers in one pass from kept hashes

Cause: at 510 daemons a change of membership took 685 ms in one piece: each of 390 services ranked all daemons by hashes of joined texts. Change: a hash a daemon, kept with its row, combined with the key's; only the best of each data centre are kept. A test holds the spread of services.

--- a/packages/core/src/routing/choose-owners.test.ts
+++ b/packages/core/src/routing/choose-owners.test.ts
@@ -27,6 +27,19 @@
     expect(new Set(owners.map(({ dataCentre }) => dataCentre)).size).to.equal(3);
   });
 
+  it('gives every daemon of a large fleet about as many services', () => {
+    const daemons = createDaemons(510);
+    const counts = new Map<string, number>();
+    Array.from({ length: 390 }, (_, index) =>
+      chooseOwners(`service-${index}`, 53, daemons, hashText).forEach(({ id }) =>
+        counts.set(id, (counts.get(id) ?? 0) + 1),
+      ),
+    );
+    const mean = (390 * computeOwnerCount(53)) / daemons.length;
+    expect(Math.max(...counts.values())).to.be.at.most(mean * 4);
+    expect(counts.size).to.be.above(daemons.length * 0.95);
+  });
+
   it('replaces only the daemon that has gone', () => {
     const daemons = createDaemons(36);
     const before = chooseOwners('visit-desk', 60, daemons, hashText).map(({ id }) => id);
--- a/packages/core/src/routing/choose-owners.ts
+++ b/packages/core/src/routing/choose-owners.ts
@@ -5,6 +5,7 @@
  */
 import type { HashText } from '../platform/index.js';
 import type { Upstream } from '../lists/index.js';
+import { SpreadPicker } from './spread-picker.js';
 import type { Placeable, Slot, SlotAssignment } from './types.js';
 
 const SLOTS_PER_OWNER = 10;
@@ -23,15 +24,25 @@
     .map(({ item }) => item);
 }
 
-/** The place of each daemon among those of its data centre, given the ranking of all. */
-function rankWithinDataCentre(ranked: readonly Placeable[]): ReadonlyMap<string, number> {
-  const placesByDataCentre = new Map<string, number>();
-  const pairs = ranked.map((daemon) => {
-    const place = placesByDataCentre.get(daemon.dataCentre) ?? 0;
-    placesByDataCentre.set(daemon.dataCentre, place + 1);
-    return [daemon.id, place] as const;
-  });
-  return new Map(pairs);
+// Prime just below 2^26: products of two residues stay exact in a double.
+const SCORE_MODULUS = 67_108_859;
+const SCORE_MULTIPLIER = 48_271;
+
+const residues = new WeakMap<Placeable, number>();
+
+/** Hash of a daemon's id, kept with the row, since placement asks for it once a service. */
+function getResidue(daemon: Placeable, hash: HashText): number {
+  const known = residues.get(daemon);
+  if (known !== undefined) return known;
+  const residue = hash(daemon.id) % SCORE_MODULUS;
+  residues.set(daemon, residue);
+  return residue;
+}
+
+/** Rendezvous score of a key and a daemon, from the hashes of both. */
+function computeScore(keyResidue: number, daemonResidue: number): number {
+  const product = (keyResidue * daemonResidue) % SCORE_MODULUS;
+  return (product * SCORE_MULTIPLIER + daemonResidue) % SCORE_MODULUS;
 }
 
 /**
@@ -44,11 +55,12 @@
   count: number,
   hash: HashText,
 ): readonly Item[] {
-  const ranked = rankByHash(key, daemons, hash);
-  const places = rankWithinDataCentre(ranked);
-  return [...ranked]
-    .sort((left, right) => (places.get(left.id) ?? 0) - (places.get(right.id) ?? 0))
-    .slice(0, count);
+  const keyResidue = hash(key) % SCORE_MODULUS;
+  const picker = new SpreadPicker<Item>(count);
+  daemons.forEach((daemon) =>
+    picker.offer(daemon, computeScore(keyResidue, getResidue(daemon, hash))),
+  );
+  return picker.choose();
 }
 
 /** How many daemons dispatch a service with so many slots. */
