Hedge on a new connection, also where little is known

Cause: with all old connections silent, one of 12 repeatable reads failed at its deadline: too few requests were known for a hedge by rank, or the hedge itself got stuck on another silent connection. Change: a hedge always gets a new connection; where too few requests are known it goes out after a quarter of the time that is left.

--- a/packages/daemon/src/requests/request-run.ts
+++ b/packages/daemon/src/requests/request-run.ts
@@ -32,6 +32,7 @@
 
 const MAX_ATTEMPTS = 4;
 const HEDGE_SURVIVAL = 0.02;
+const HEDGE_TIME_SHARE = 0.25;
 /** Idle time after which something between the ends may have lost a connection. */
 const STALE_IDLE_MS = 5000;
 const STALE_IDLE_REPEATABLE_MS = 30_000;
@@ -196,6 +197,8 @@
 
   #startAttempt(slot: Slot, now: number): RunningAttempt {
     const link = this.#service.getLink(slot);
+    // A hedge must not get stuck on another old connection that has fallen silent.
+    if (this.#hedged && !link.isFresh) link.replace();
     link.replaceIfIdle(this.#job.repeatable ? STALE_IDLE_REPEATABLE_MS : STALE_IDLE_MS, now);
     const attempt = new Attempt(this.#job, {
       dispatcher: link.client,
@@ -270,14 +273,7 @@
   #hedgeIfStalled(now: number): void {
     const [only, ...others] = this.#running;
     if (!only || others.length > 0 || this.#hedged || !this.#job.repeatable) return;
-    const { upstreamId } = only.slot;
-    const elapsed = now - only.startedAt;
-    const survival = this.#service.detector.computeSurvival(
-      upstreamId,
-      this.#job.head.kind,
-      elapsed,
-    );
-    if (survival === undefined || survival > HEDGE_SURVIVAL) return;
+    if (!this.#isStalled(only, now)) return;
     const grant = this.#service.pool.acquire(this.#buildTicket());
     if (!grant) return;
     if (!this.#service.retryBudget.takeRetry()) {
@@ -288,6 +284,15 @@
     this.#launch(grant);
   }
 
+  /** Whether few requests take so long; where too few are known, whether a share of its time is up. */
+  #isStalled({ slot, startedAt }: RunningAttempt, now: number): boolean {
+    const { kind } = this.#job.head;
+    const elapsed = now - startedAt;
+    const survival = this.#service.detector.computeSurvival(slot.upstreamId, kind, elapsed);
+    if (survival !== undefined) return survival <= HEDGE_SURVIVAL;
+    return elapsed >= (this.#job.deadline - startedAt) * HEDGE_TIME_SHARE;
+  }
+
   /** Tells detection what an attempt has shown about its upstream. */
   async #learn(running: RunningAttempt, result: AttemptResult): Promise<void> {
     const { id, slot } = running;
