Let a planned stop wait for slow readers

Cause: a stop closed all connections once every answer was known, so a caller that read a long answer slowly was cut off; and it ended after 45 s, though a deadline may be 120 s away. Change: replies count until their last byte is taken; the bound of a stop is 200 s.

--- a/packages/daemon/src/callers/app.ts
+++ b/packages/daemon/src/callers/app.ts
@@ -14,6 +14,7 @@
 import { buildAnswerHeaders, REFUSED_HEADER } from '../requests/index.js';
 import type { Answer, Arrival, RequestPath } from '../requests/index.js';
 import type { Settings } from '../settings/index.js';
+import type { OpenReplies } from './open-replies.js';
 
 export type CallerPorts = {
   readonly settings: Settings;
@@ -21,6 +22,7 @@
   readonly entries: EntryAnswers;
   readonly metrics: Metrics;
   readonly decisions: DecisionLog;
+  readonly openReplies: OpenReplies;
 };
 
 type EntriesQuery = {
@@ -131,6 +133,7 @@
 
   async handleRequest(request: FastifyRequest, reply: FastifyReply): Promise<void> {
     const arrivedAt = performance.now();
+    this.#ports.openReplies.add(reply);
     const arrival = buildArrival(request, reply, request.url);
     const service = request.url.split(/[/?]/, 2)[1] ?? '';
     try {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -17,6 +17,7 @@
 import type { AddressInfo } from 'node:net';
 
 import { createCallerApp } from './callers/app.js';
+import { OpenReplies } from './callers/open-replies.js';
 import { DecisionLog } from './decisions/index.js';
 import { EntryAnswers } from './entries/index.js';
 import {
@@ -80,6 +81,8 @@
 
   readonly #meter = new ControlMeter();
 
+  readonly #openReplies = new OpenReplies();
+
   readonly #client: PeerClient;
 
   readonly #reachability: UpstreamReachability;
@@ -175,7 +178,8 @@
     const { entryHoldSeconds, maxStopSeconds } = this.#settings;
     const age = this.#clock.now() - startedAt;
     const answersHold = age < (entryHoldSeconds + 1) * MS_PER_SECOND;
-    if (!answersHold && this.#path.inFlight === 0) return;
+    const isIdle = this.#path.inFlight === 0 && this.#openReplies.count === 0;
+    if (!answersHold && isIdle) return;
     if (age >= maxStopSeconds * MS_PER_SECOND) return;
     await wait(STOP_POLL_MS);
     await this.#waitUntilIdle(startedAt);
@@ -205,6 +209,7 @@
       entries: this.#createEntryAnswers(),
       metrics: this.#metrics,
       decisions: this.#decisions,
+      openReplies: this.#openReplies,
     });
     const operatorApp = this.#createOperatorApp();
     this.#apps = [callerApp, peerApp, operatorApp];
@@ -346,6 +351,7 @@
       settings: this.#settings,
       path: this.#path,
       meter: this.#meter,
+      openReplies: this.#openReplies,
       handlers: {
         exchange: (message) => this.#gossip.handleExchange(message),
         probe: (request) => this.#gossip.handleProbe(request),
--- a/packages/daemon/src/peers/server.ts
+++ b/packages/daemon/src/peers/server.ts
@@ -14,6 +14,7 @@
   sendRefusal,
 } from '../callers/app.js';
 import { FREE_HEADER } from '../requests/index.js';
+import type { OpenReplies } from '../callers/open-replies.js';
 import type { Answer, Arrival, RequestPath } from '../requests/index.js';
 import type { Settings } from '../settings/index.js';
 import { createPeerRouter } from './app.js';
@@ -25,6 +26,12 @@
   readonly path: RequestPath;
   readonly handlers: PeerHandlers;
   readonly meter: ControlMeter;
+  readonly openReplies: OpenReplies;
+};
+
+type RouteTools = {
+  readonly countFree: (url: string) => number;
+  readonly openReplies: OpenReplies;
 };
 
 type Handle = (arrival: Arrival) => Promise<Answer>;
@@ -33,15 +40,16 @@
   app: FastifyInstance,
   route: string,
   handle: Handle,
-  countFree: (url: string) => number,
+  ports: RouteTools,
 ): void {
   const prefix = `/${route}`;
   app.all(`${prefix}/*`, async (request: FastifyRequest, reply: FastifyReply) => {
     const requestId = String(request.headers['x-request-id'] ?? 'none');
+    ports.openReplies.add(reply);
     try {
       const arrival = buildArrival(request, reply, request.url.slice(prefix.length));
       const answer = await handle(arrival);
-      reply.header(FREE_HEADER, String(countFree(arrival.raw.url)));
+      reply.header(FREE_HEADER, String(ports.countFree(arrival.raw.url)));
       sendAnswer(reply, answer, requestId);
     } catch (error) {
       sendRefusal(reply, toRequestError(error), requestId);
@@ -53,7 +61,10 @@
 /** Creates the peers' listener. */
 export async function createPeerApp(ports: PeerServerPorts): Promise<FastifyInstance> {
   const { settings, path, handlers, meter } = ports;
-  const countFree = (url: string): number => path.countFree(url.split(/[/?]/, 2)[1] ?? '');
+  const tools: RouteTools = {
+    countFree: (url) => path.countFree(url.split(/[/?]/, 2)[1] ?? ''),
+    openReplies: ports.openReplies,
+  };
   const app = createHttpApp(settings, false);
   const options: FastifyTRPCPluginOptions<PeerRouter>['trpcOptions'] = {
     router: createPeerRouter(handlers),
@@ -66,8 +77,8 @@
   await app.register(fastifyTRPCPlugin, { prefix: '/trpc', trpcOptions: options });
   await app.register(async (scope) => {
     acceptAnyBody(scope);
-    registerRoute(scope, 'dispatch', (arrival) => path.handleDispatch(arrival), countFree);
-    registerRoute(scope, 'run', (arrival) => path.handleRun(arrival), countFree);
+    registerRoute(scope, 'dispatch', (arrival) => path.handleDispatch(arrival), tools);
+    registerRoute(scope, 'run', (arrival) => path.handleRun(arrival), tools);
   });
   return app;
 }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -67,7 +67,8 @@
   suspicion: z.enum(SUSPICION_POLICIES).default('pooled'),
   /** How slots are shared; all but the first are there to be measured against. */
   routing: z.enum(ROUTING_POLICIES).default('owned-slots'),
-  maxStopSeconds: z.number().min(1).max(600).default(45),
+  /** Bound of a planned stop; the default outlasts the longest deadline and entry answer. */
+  maxStopSeconds: z.number().min(1).max(600).default(200),
   maxBodyBytes: z
     .int()
     .min(1024)
