Look at placement only when a table has changed

Cause: every 100 ms each daemon listed, sorted and joined all members to learn that nothing had changed; at 510 members that alone is some tenths of a percent of a core (worked out). Change: revisions of the tables are compared first. Measured: 142 tests pass; no figure was taken for the gain.

--- a/packages/daemon/src/fleet/fleet-view.ts
+++ b/packages/daemon/src/fleet/fleet-view.ts
@@ -52,6 +52,10 @@
 
   #seenPlacement = '';
 
+  #seenMembers = -1;
+
+  #seenDocuments = -1;
+
   readonly #routing: RoutingPolicyName;
 
   constructor(membership: Membership, documents: DocumentStore, routing: RoutingPolicyName) {
@@ -66,6 +70,7 @@
 
   /** Brings the derived rows up to date and says whether any of them changed. */
   refresh(): boolean {
+    if (!this.#hasNews()) return false;
     const placement = this.#describePlacement();
     if (placement === this.#seenPlacement) return false;
     this.#seenPlacement = placement;
@@ -81,6 +86,17 @@
     return true;
   }
 
+  /** Whether any table that placement rests on has changed since the last look. */
+  #hasNews(): boolean {
+    const { members } = this.membership;
+    if (members.revision === this.#seenMembers && this.documents.revision === this.#seenDocuments) {
+      return false;
+    }
+    this.#seenMembers = members.revision;
+    this.#seenDocuments = this.documents.revision;
+    return true;
+  }
+
   /** Daemons that may own slots. A suspect keeps its slots until it is known to be dead. */
   #listOwnerCandidates(): readonly Member[] {
     return this.membership.members
