Refuse values of over a megabyte by name, and take lists in parts

Cause: a value over the limit was dropped by the reader without a word, and no real process had been seen to take lists in parts. Change: the size is checked and refused with field, value and what is allowed; failed watches are logged; a test publishes 1.6 MB both ways.

--- a/bin/verbs.js
+++ b/bin/verbs.js
@@ -80,6 +80,7 @@
   'cancel',
   'abort',
   'flush',
+  'raise',
   'move',
   'fail',
   'succeed',
--- a/packages/core/src/configuration/document-store.ts
+++ b/packages/core/src/configuration/document-store.ts
@@ -100,7 +100,7 @@
 
   #offerLists(text: string): OfferResult {
     const checked = checkText(text, checkLists);
-    if (!checked.ok) return this.#refuse(checked.faults);
+    if (!checked.ok) return this.recordRefusal(checked.faults);
     const result = this.#accept('lists', text, checked.value);
     if (result.kind === 'accepted') this.#lists = checked.value;
     return result;
@@ -108,13 +108,14 @@
 
   #offerVmList(text: string): OfferResult {
     const checked = checkText(text, checkVmList);
-    if (!checked.ok) return this.#refuse(checked.faults);
+    if (!checked.ok) return this.recordRefusal(checked.faults);
     const result = this.#accept('vm-list', text, checked.value);
     if (result.kind === 'accepted') this.#vmList = checked.value;
     return result;
   }
 
-  #refuse(faults: readonly Fault[]): OfferResult {
+  /** Counts a publication that may not enter force. */
+  recordRefusal(faults: readonly Fault[]): OfferResult {
     this.#refusedCount += 1;
     return { kind: 'refused', faults };
   }
--- a/packages/daemon/src/fleet/document-sync.ts
+++ b/packages/daemon/src/fleet/document-sync.ts
@@ -9,6 +9,7 @@
   drawFallbackDelayMs,
   hashText,
   joinParts,
+  MAX_VALUE_BYTES,
   parseManifest,
 } from '@baobabline/core';
 import type {
@@ -121,7 +122,10 @@
     if (state.nextAt > now || this.#stopped) return;
     this.#watches.set(name, { ...state, nextAt: Number.POSITIVE_INFINITY });
     const waitMs = isReader ? WATCH_MS : 0;
-    this.#watchOnce(state, waitMs).catch(() => this.#retryLater(name));
+    this.#watchOnce(state, waitMs).catch((error: Error) => {
+      this.#ports.log.warn('platform-service-away', { document: name, reason: error.message });
+      this.#retryLater(name);
+    });
   }
 
   async #watchOnce(state: WatchState, waitMs: number): Promise<void> {
@@ -151,6 +155,11 @@
   }
 
   async #takeValue(name: DocumentName, value: string): Promise<void> {
+    const bytes = Buffer.byteLength(value);
+    if (bytes > MAX_VALUE_BYTES) {
+      this.#refuseSize(name, value, bytes);
+      return;
+    }
     const parts = parseManifest(value);
     this.#offer(name, parts ? await this.#readParts(name, parts) : value, 'platform');
   }
@@ -186,6 +195,13 @@
     if (result.kind === 'refused') this.#logRefusal(name, text, source, result.faults);
   }
 
+  #refuseSize(name: DocumentName, value: string, bytes: number): void {
+    const allowed = `at most ${MAX_VALUE_BYTES} bytes; publish it in parts`;
+    const faults = [{ field: '(root)', value: `${bytes} bytes`, allowed }];
+    this.#ports.documents.recordRefusal(faults);
+    this.#logRefusal(name, value, 'platform', faults);
+  }
+
   #logRefusal(name: DocumentName, text: string, source: string, faults: readonly unknown[]): void {
     const digest = computeDigest(text);
     if (this.#refusedTexts.has(digest)) return;
--- a/packages/daemon/src/platform/key-value-client.ts
+++ b/packages/daemon/src/platform/key-value-client.ts
@@ -8,7 +8,8 @@
 
 const READ_TIMEOUT_MS = 2000;
 const WATCH_GRACE_MS = 2000;
-const MAX_RESPONSE_BYTES = 2 * 1024 * 1024;
+/** Values are base64; one far over the limit of a megabyte is still read, to be refused by name. */
+const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
 export type KeyValue = { readonly index: number; readonly text: string };
 
--- a/packages/experiments/src/harness/daemon-process.ts
+++ b/packages/experiments/src/harness/daemon-process.ts
@@ -98,17 +98,22 @@
 
   /** Resolves with the first line of an event, logged before or after this call. */
   async waitForEvent(event: string): Promise<LogLine> {
-    const logged = this.#lines.find((line) => line.event === event);
+    return this.waitForLine((line) => line.event === event);
+  }
+
+  /** Resolves with the first line that matches, logged before or after this call. */
+  async waitForLine(matches: (line: LogLine) => boolean): Promise<LogLine> {
+    const logged = this.#lines.find(matches);
     if (logged) return logged;
     return new Promise((resolve, reject) => {
       const listen = (line: LogLine): void => {
-        if (line.event !== event) return;
+        if (!matches(line)) return;
         this.#listeners.delete(listen);
         resolve(line);
       };
       this.#listeners.add(listen);
       this.#exited
-        .then(() => reject(new Error(`Daemon ${this.id} ended before ${event}`)))
+        .then(() => reject(new Error(`Daemon ${this.id} ended before the line came`)))
         .catch(() => undefined);
     });
   }
--- a/packages/experiments/src/harness/fleet-harness.ts
+++ b/packages/experiments/src/harness/fleet-harness.ts
@@ -120,6 +120,11 @@
     return this.#listsVersion;
   }
 
+  /** Lets the next publication follow a version that was published by other means. */
+  raiseListsVersion(version: number): void {
+    this.#listsVersion = Math.max(this.#listsVersion, version);
+  }
+
   publishVmList(): number {
     this.#vmListVersion += 1;
     const upstreams = this.#upstreams.map((upstream) => this.#buildUpstreamRow(upstream));
--- a/packages/experiments/src/proofs/fleet.test.ts
+++ b/packages/experiments/src/proofs/fleet.test.ts
@@ -1,3 +1,4 @@
+import { buildManifest, computeDigest, MAX_VALUE_BYTES, splitDocument } from '@baobabline/core';
 import { expect } from 'chai';
 
 import type { DaemonProcess } from '../harness/daemon-process.js';
@@ -74,6 +75,38 @@
     expect((await sendTo(getDaemon(0))).status).to.equal(200);
   });
 
+  function createLargeLists(version: number): string {
+    const customers = Array.from({ length: 40_000 }, (_, index) => ({
+      id: `customer-${index}`,
+      plan: 'standard',
+    }));
+    const lists = { version, plans: SMALL.plans, customers: [...SMALL.customers, ...customers] };
+    return JSON.stringify(lists);
+  }
+
+  it('refuses a value of over a megabyte, and takes the same lists in parts', async () => {
+    const [before] = await readListsVersions([getDaemon(0)]);
+    const version = (before ?? 0) + 100;
+    const text = createLargeLists(version);
+    expect(text.length).to.be.above(MAX_VALUE_BYTES);
+    harness.configuration.publish('lists', text);
+    await Promise.any(
+      harness.daemons.map((daemon) =>
+        daemon.waitForLine(({ faults }) => JSON.stringify(faults ?? '').includes('in parts')),
+      ),
+    );
+    expect(await readListsVersions([getDaemon(0)])).to.deep.equal([before]);
+    const parts = splitDocument('lists', text, MAX_VALUE_BYTES / 2, computeDigest);
+    parts.forEach((part) => harness.configuration.publish(part.key, part.text));
+    harness.configuration.publish('lists', buildManifest(parts));
+    await waitFor(
+      async () => (await readListsVersions(harness.daemons)).every((held) => held === version),
+      15_000,
+      'all daemons hold the lists published in parts',
+    );
+    harness.raiseListsVersion(version);
+  });
+
   it('starts a daemon from its peers while the services are down', async () => {
     harness.configuration.setMode('down');
     harness.vmListService.setMode('down');
