Drop accessors that nothing calls, and wait by the standard library

Cause: a reading of the whole change found three own copies of a wait that node:timers/promises has, and six accessors that no code or test calls (one with a maximum that was kept up on every request of a stand-in). Change: the copies and the accessors are gone; no test, bound or check was touched.

--- a/packages/client/src/fleet-client.ts
+++ b/packages/client/src/fleet-client.ts
@@ -5,6 +5,7 @@
  * sent.
  */
 import { randomUUID } from 'node:crypto';
+import { setTimeout as wait } from 'node:timers/promises';
 import { Agent, request as sendHttp } from 'undici';
 import type { Dispatcher } from 'undici';
 
@@ -30,12 +31,6 @@
 const FULL_CODES: readonly number[] = [200, 201, 202, 203];
 const DEADLINE_GRACE_MS = 500;
 
-async function wait(milliseconds: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 /**
  * Pause before the next try. Where the fleet is full it says when to come back, and trying sooner
  * would only feed the wave; the random part keeps callers from coming back together.
--- a/packages/core/src/detection/detector.ts
+++ b/packages/core/src/detection/detector.ts
@@ -29,10 +29,6 @@
 
   #decayedAt = Number.NEGATIVE_INFINITY;
 
-  get pendingCount(): number {
-    return this.#pending.size;
-  }
-
   recordStart(request: PendingRequest): void {
     this.#pending.put(request);
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,6 +15,7 @@
 import type { Member, Upstream } from '@baobabline/core';
 import type { FastifyInstance } from 'fastify';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
 
 import { createCallerApp } from './callers/app.js';
 import { OpenReplies } from './callers/open-replies.js';
@@ -60,12 +61,6 @@
   return (app.server.address() as AddressInfo).port;
 }
 
-async function wait(milliseconds: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 export class Daemon {
   readonly #settings: Settings;
 
--- a/packages/daemon/src/limits/plan-limits.ts
+++ b/packages/daemon/src/limits/plan-limits.ts
@@ -36,10 +36,6 @@
     this.#ports = ports;
   }
 
-  get customerCount(): number {
-    return this.#lender.size;
-  }
-
   /** Takes the weight of one request or throws `over-plan-rate`. */
   async take(customer: string, plan: Plan, weight: number): Promise<void> {
     const { clock } = this.#ports;
--- a/packages/daemon/src/requests/attempt.ts
+++ b/packages/daemon/src/requests/attempt.ts
@@ -65,10 +65,6 @@
     });
   }
 
-  get state(): AttemptState {
-    return this.#state;
-  }
-
   start(timeLeftMs: number): void {
     const { head, body } = this.#job;
     this.#target.dispatcher.dispatch(
--- a/packages/daemon/src/requests/request-run.ts
+++ b/packages/daemon/src/requests/request-run.ts
@@ -85,10 +85,6 @@
     });
   }
 
-  get isSettled(): boolean {
-    return this.#settled;
-  }
-
   start(): void {
     this.#job.cancelled.addEventListener('abort', () => this.cancel(), { once: true });
     this.#takeSlot();
--- a/packages/experiments/src/runner/report.ts
+++ b/packages/experiments/src/runner/report.ts
@@ -4,6 +4,8 @@
  */
 import process from 'node:process';
 
+export { setTimeout as wait } from 'node:timers/promises';
+
 export function printProgress(text: string): void {
   process.stderr.write(`${text}\n`);
 }
@@ -12,12 +14,6 @@
   process.stdout.write(`${JSON.stringify(result)}\n`);
 }
 
-export async function wait(milliseconds: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 /** Computes a quantile (0 to 1) of figures by nearest rank; undefined for none. */
 export function computeQuantile(figures: readonly number[], quantile: number): number | undefined {
   const sorted = [...figures].sort((left, right) => left - right);
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.ts
@@ -49,10 +49,6 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
-  get connectionCount(): number {
-    return this.#links.length;
-  }
-
   /** Drops all data in one direction from now on, or lets it pass again. */
   setFault(direction: Direction, fault: DirectionFault): void {
     this.#faults = { ...this.#faults, [direction]: fault };
--- a/packages/stand-ins/src/upstream/upstream.ts
+++ b/packages/stand-ins/src/upstream/upstream.ts
@@ -46,8 +46,6 @@
 
   #active = 0;
 
-  #maxActive = 0;
-
   #shed = 0;
 
   #cancelled = 0;
@@ -123,11 +121,6 @@
     return this.#cancelled;
   }
 
-  /** Most requests that were in the slots at once. */
-  get maxActive(): number {
-    return this.#maxActive;
-  }
-
   get arrivals(): readonly Arrival[] {
     return this.#arrivals;
   }
@@ -211,7 +204,6 @@
 
   #run(work: Work): void {
     this.#active += 1;
-    this.#maxActive = Math.max(this.#maxActive, this.#active);
     this.#runs.set(work.operation, (this.#runs.get(work.operation) ?? 0) + 1);
     const fault = this.#getActiveFault();
     if (fault === 'crash') {
