Report by datagram, keep a reserve for failed requests, hold uploads near

Change: tests need half of the allowance, hedges a third; a test counts for the whole fleet; reports are datagrams of some 100 bytes, sent 10 ms after an outcome and 60 ms after a change of load; a large body weighs against a far upstream; no timers while nothing waits.

--- a/packages/core/src/placement/choose-upstream.ts
+++ b/packages/core/src/placement/choose-upstream.ts
@@ -27,7 +27,11 @@
   readonly isRepeatable: boolean;
   /** Whether it may go to another upstream if this attempt fails. */
   readonly canTryAgain: boolean;
+  /** Whether the allowance for repeats bears a test that fails. */
+  readonly mayTest: boolean;
   readonly dataCentre: string;
+  /** Size of the request's body, which crosses data centres with it. */
+  readonly bodyBytes: number;
 };
 
 export type PlacementChoice = {
@@ -36,7 +40,9 @@
 };
 
 /** In shares of an upstream's slots: how much fuller a near upstream may be than a far one. */
-const FAR_PENALTY = 0.25;
+const FAR_PENALTY = 0.6;
+/** Body bytes that weigh as much as all slots of an upstream: large bodies stay near. */
+const FAR_BODY_BYTES = 40_000;
 /** How much fuller a warm upstream may be than one that has just started. */
 const COLD_PENALTY = 0.5;
 /** Breaks ties by chance, so that dispatchers with the same view do not choose alike. */
@@ -47,7 +53,8 @@
   request: PlacementRequest,
   random: RandomSource,
 ): number {
-  const far = candidate.dataCentre === request.dataCentre ? 0 : FAR_PENALTY;
+  const isNear = candidate.dataCentre === request.dataCentre;
+  const far = isNear ? 0 : FAR_PENALTY + request.bodyBytes / FAR_BODY_BYTES;
   const cold = candidate.warmUpMs > 0 ? COLD_PENALTY : 0;
   return candidate.inFlight / candidate.slots + far + cold + random.next() * TIE_SPREAD;
 }
@@ -76,7 +83,8 @@
   random: RandomSource,
 ): PlacementChoice | undefined {
   const open = candidates.filter(hasRoom);
-  const mayTest = request.isRepeatable && request.canTryAgain;
+  const mayFail = request.isRepeatable && request.canTryAgain;
+  const mayTest = mayFail && request.mayTest;
   const due = open.filter((one) => one.isSuspect && one.isTestDue && one.inFlight === 0);
   const test = mayTest ? chooseCheapest(due, request, random) : undefined;
   if (test !== undefined) return { upstreamId: test, reason: 'test' };
@@ -84,7 +92,7 @@
   const best = chooseCheapest(trusted, request, random);
   if (best !== undefined) return { upstreamId: best, reason: 'trusted' };
   const allSuspect = candidates.every(({ isSuspect }) => isSuspect);
-  if (!allSuspect && !mayTest) return undefined;
+  if (!allSuspect && !mayFail) return undefined;
   const last = chooseCheapest(open, request, random);
   if (last === undefined) return undefined;
   return { upstreamId: last, reason: allSuspect ? 'all-suspect' : 'suspect-with-room' };
--- a/packages/core/src/retries/window-allowance.ts
+++ b/packages/core/src/retries/window-allowance.ts
@@ -51,11 +51,22 @@
 
   /** Repeats that may still be made now. */
   countLeft(): number {
+    const { total, spent } = this.#computeState();
+    return total - spent;
+  }
+
+  /** The part of the allowance that is left, from 0 to 1. */
+  getShareLeft(): number {
+    const { total, spent } = this.#computeState();
+    return total < 1 ? 0 : Math.max(0, (total - spent) / total);
+  }
+
+  #computeState(): { readonly total: number; readonly spent: number } {
     const { ratio, fleetSlack, daemonCount } = this.#settings;
     const parts = this.#listCurrent();
     const requests = parts.reduce((sum, part) => sum + part.requests, 0);
-    const repeats = parts.reduce((sum, part) => sum + part.repeats, 0);
-    return (requests * ratio + fleetSlack / daemonCount) * SAFETY - repeats;
+    const spent = parts.reduce((sum, part) => sum + part.repeats, 0);
+    return { total: (requests * ratio + fleetSlack / daemonCount) * SAFETY, spent };
   }
 
   #computeIndex(): number {
--- a/packages/core/src/trust/upstream-trust.ts
+++ b/packages/core/src/trust/upstream-trust.ts
@@ -13,8 +13,10 @@
   readonly goodAnswersToReturn: number;
   /** After so long without any failure a suspect is trusted again, in milliseconds. */
   readonly maxSuspicionMs: number;
-  /** Shortest time between two tests of a suspect by this dispatcher, in milliseconds. */
+  /** Shortest time between two tests of a suspect by the fleet, in milliseconds. */
   readonly testIntervalMs: number;
+  /** The same once the last test ended well. */
+  readonly confirmIntervalMs: number;
 };
 
 /** From trials on the quiet days: 3 answers beat 1 and 2; longer intervals delay the return. */
@@ -22,6 +24,7 @@
   goodAnswersToReturn: 3,
   maxSuspicionMs: 8000,
   testIntervalMs: 400,
+  confirmIntervalMs: 60,
 };
 
 /** What one attempt showed of an upstream. */
@@ -75,7 +78,8 @@
   isTestDue(upstreamId: string, now: number): boolean {
     const known = this.#standings.get(upstreamId);
     if (!known) return false;
-    return now - known.lastTestAt >= this.#settings.testIntervalMs;
+    const { testIntervalMs, confirmIntervalMs } = this.#settings;
+    return now - known.lastTestAt >= (known.goodInRow > 0 ? confirmIntervalMs : testIntervalMs);
   }
 
   /** Notes that a test is under way. */
@@ -99,13 +103,16 @@
     if (!known.isSuspect || at <= known.lastFailureAt) return undefined;
     const goodInRow = known.goodInRow + 1;
     const isSuspect = goodInRow < this.#settings.goodAnswersToReturn;
-    this.#standings.set(upstreamId, { ...known, goodInRow, isSuspect });
+    const lastTestAt = Math.max(known.lastTestAt, at);
+    this.#standings.set(upstreamId, { ...known, goodInRow, isSuspect, lastTestAt });
     return isSuspect ? undefined : 'trusted';
   }
 
   #recordBad(upstreamId: string, known: Standing, at: number): TrustChange | undefined {
     const lastFailureAt = Math.max(known.lastFailureAt, at);
-    this.#standings.set(upstreamId, { ...known, isSuspect: true, goodInRow: 0, lastFailureAt });
+    const lastTestAt = Math.max(known.lastTestAt, at);
+    const suspect = { isSuspect: true, goodInRow: 0, lastFailureAt, lastTestAt };
+    this.#standings.set(upstreamId, suspect);
     return known.isSuspect ? undefined : 'suspected';
   }
 }
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -13,7 +13,7 @@
 import type { Log } from '@baobabline/daemon';
 
 import { PeerFollower } from '../knowledge/index.js';
-import type { DispatcherReport, GatewayPeerRouter } from '../peers/index.js';
+import type { GatewayPeerRouter } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 
 export type FleetPorts = {
@@ -25,7 +25,8 @@
   readonly onChanges: (changes: Changes) => void;
 };
 
-const GOSSIP_MS = 200;
+/** A round of gossip; in calm only each third brings an exchange. */
+const GOSSIP_MS = 500;
 const ANNOUNCE_TO = 6;
 
 /** Gossip here carries members alone; records travel by following. */
@@ -95,10 +96,6 @@
       .filter(({ id }) => id !== this.#ports.settings.id);
   }
 
-  async sendReport(member: Member, report: DispatcherReport): Promise<void> {
-    await this.#connect(member).report.mutate(report);
-  }
-
   async close(): Promise<void> {
     clearInterval(this.#timer);
     this.follower.stop();
@@ -153,11 +150,16 @@
       listDispatchers: () => this.#listFollowed(),
       follow: async (member, revision, waitMs) =>
         this.#connect(member).follow.mutate({ revision, waitMs }),
-      onHeard: ({ id }) => this.membership.recordHeard(id),
+      onHeard: (member) => this.#handleHeard(member),
       onLost: (member, reason) => this.#handleLost(member, reason),
     });
   }
 
+  #handleHeard(member: Member): void {
+    this.membership.recordHeard(member.id);
+    this.membership.applyUpdates([member]);
+  }
+
   #handleLost({ id }: Member, reason: string): void {
     if (!this.membership.brokenLinks.has(id)) {
       this.#ports.log.warn('dispatcher-lost', { peer: id, reason });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,14 +15,13 @@
 import { FleetLinks } from './fleet/index.js';
 import { ChangeWaiters, StoreReader } from './knowledge/index.js';
 import { createPeerApp } from './peers/index.js';
-import type { DispatcherReport } from './peers/index.js';
-import { DispatcherReports } from './reports/index.js';
+import { DispatcherReports, ReportSocket } from './reports/index.js';
+import type { DispatcherReport } from './reports/index.js';
 import type { RequestStep, RoutedRequest } from './requests/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
 
-const REQUEST_TICK_MS = 10;
-const SYSTEM_TICK_MS = 100;
+const SYSTEM_TICK_MS = 200;
 const STOP_POLL_MS = 50;
 /** Some callers keep a directory answer three times as long as they are told. */
 const HOLD_FACTOR = 3;
@@ -60,6 +59,11 @@
 
   readonly #reports: DispatcherReports;
 
+  readonly #reportSocket = new ReportSocket({
+    onReport: (report) => this.#services.applyReport(report),
+    onFault: (reason) => this.#log.warn('report-fault', { reason }),
+  });
+
   readonly #callers: CallerServer;
 
   readonly #silenceMs: number;
@@ -88,7 +92,7 @@
 
   /** Listens and joins the fleet; resolves once requests are served. */
   async start(): Promise<void> {
-    const { callers, directory, readiness, peers } = this.#settings;
+    const { callers, directory, readiness, peers, reports } = this.#settings;
     const peerApp = await this.#createPeerApp();
     const directoryApp = createDirectoryApp({
       dialect: this.#platform.directory,
@@ -104,6 +108,7 @@
       directoryApp.listen({ host: directory.address, port: directory.port }),
       readinessApp.listen({ host: readiness.address, port: readiness.port }),
       this.#callers.listen(callers.address, callers.port),
+      this.#reportSocket.listen(reports.address, reports.port),
     ]);
     this.#log.info('started', { sinceStartMs: Math.round(performance.now()) });
     this.#startTimers();
@@ -123,7 +128,9 @@
     const startedAt = this.#clock.now();
     this.#callers.startLeaving();
     this.#log.info('leaving', { openRequests: this.#callers.openRequests });
-    await this.#fleet.announceState('leaving');
+    const announced = this.#fleet.announceState('leaving');
+    this.#waiters.releaseAll();
+    await announced;
     await this.#waitUntilIdle(startedAt);
     this.#phase = 'stopped';
     await this.#fleet.announceState('left');
@@ -150,6 +157,8 @@
     this.#timers.forEach((timer) => clearInterval(timer));
     this.#reader.stop();
     this.#services.close();
+    this.#reports.stop();
+    this.#reportSocket.close();
     await this.#callers.close();
     await Promise.all(this.#apps.map((app) => app.close()));
     await Promise.all([this.#fleet.close(), this.#platform.source.close()]);
@@ -163,19 +172,12 @@
 
   #startTimers(): void {
     this.#fleet.start();
-    this.#timers = [
-      setInterval(() => this.#runRequestTick(), REQUEST_TICK_MS),
-      setInterval(() => this.#runSystemTick(), SYSTEM_TICK_MS),
-    ];
-  }
-
-  #runRequestTick(): void {
-    this.#services.runTick();
-    this.#reports.runTick();
+    this.#timers = [setInterval(() => this.#runSystemTick(), SYSTEM_TICK_MS)];
   }
 
   #runSystemTick(): void {
     this.#replica.runTick(this.#clock.now());
+    this.#services.runTick();
     this.#fleet.follower.runTick();
   }
 
@@ -222,13 +224,17 @@
     return new DispatcherReports({
       clock: this.#clock,
       selfId: this.#settings.id,
-      listReceivers: () => this.#fleet.listOtherDispatchers(),
-      getRevision: () => this.#replica.revision,
+      incarnation: this.#fleet.membership.self.incarnation,
       listInFlight: () => this.#services.listInFlight(),
-      send: async (member, report) => this.#fleet.sendReport(member, report),
+      send: (report) => this.#sendReport(report),
     });
   }
 
+  #sendReport(report: DispatcherReport): void {
+    const addresses = this.#fleet.listOtherDispatchers().map(({ address }) => address);
+    this.#reportSocket.send(report, addresses, this.#settings.reports.port);
+  }
+
   #createCallers(): CallerServer {
     return new CallerServer({
       clock: this.#clock,
@@ -245,8 +251,10 @@
     return createPeerApp({
       exchange: (message) => this.#fleet.gossip.handleExchange(message),
       probe: async (target) => this.#fleet.gossip.handleProbe(target),
-      follow: async ({ revision, waitMs }) => this.#waiters.wait(revision, waitMs),
-      report: (report) => this.#handleReport(report),
+      follow: async ({ revision, waitMs }) => ({
+        changes: await this.#waiters.wait(revision, waitMs),
+        from: this.#fleet.membership.self,
+      }),
     });
   }
 
@@ -271,14 +279,6 @@
     this.#log.info('configuration', { version, routes: routes.configuration.routes.length });
   }
 
-  #handleReport({ reporterId, inFlight, outcomes }: DispatcherReport): void {
-    const now = this.#clock.now();
-    this.#services.peerLoads.record(reporterId, inFlight);
-    outcomes.forEach(({ upstreamId, isGood, ageMs }) =>
-      this.#services.applyPeerOutcome(upstreamId, isGood, now - ageMs),
-    );
-  }
-
   #answerDirectory({ dataCentre = this.#settings.dataCentre }: DirectoryQuestion): DirectoryAnswer {
     const { directoryHoldSeconds, bounds } = this.#settings;
     const members = this.#fleet.listForCallers(dataCentre);
--- a/packages/gateway/src/knowledge/change-waiters.ts
+++ b/packages/gateway/src/knowledge/change-waiters.ts
@@ -25,7 +25,16 @@
 
   /** Answers the waiting calls soon. */
   announce(): void {
-    this.#timer ??= setTimeout(() => this.#releaseAll(), GATHER_MS);
+    this.#timer ??= setTimeout(() => this.releaseAll(), GATHER_MS);
+  }
+
+  /** Answers the waiting calls now. */
+  releaseAll(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    waiters.forEach((release) => release());
   }
 
   async #waitForNews(waitMs: number): Promise<void> {
@@ -40,11 +49,4 @@
       ];
     });
   }
-
-  #releaseAll(): void {
-    this.#timer = undefined;
-    const waiters = this.#waiters;
-    this.#waiters = [];
-    waiters.forEach((release) => release());
-  }
 }
--- a/packages/gateway/src/knowledge/peer-follower.ts
+++ b/packages/gateway/src/knowledge/peer-follower.ts
@@ -6,15 +6,18 @@
 import type { Log } from '@baobabline/daemon';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import type { FollowAnswer } from '../peers/index.js';
+
 export type FollowerPorts = {
   readonly clock: Clock;
   readonly log: Log;
   /** Dispatchers to follow now. */
   readonly listDispatchers: () => readonly Member[];
   readonly getRevision: () => number;
-  readonly follow: (member: Member, revision: number, waitMs: number) => Promise<Changes>;
+  readonly follow: (member: Member, revision: number, waitMs: number) => Promise<FollowAnswer>;
   readonly onChanges: (changes: Changes) => void;
   readonly onLost: (member: Member, reason: string) => void;
+  /** Called with what a dispatcher says of itself. */
   readonly onHeard: (member: Member) => void;
 };
 
@@ -71,9 +74,9 @@
   async #followOnce(member: Member): Promise<void> {
     const { getRevision, follow, onChanges, onHeard, onLost, clock } = this.#ports;
     try {
-      const changes = await follow(member, getRevision(), WAIT_MS);
+      const { changes, from } = await follow(member, getRevision(), WAIT_MS);
       this.#heardAt = clock.now();
-      onHeard(member);
+      onHeard(from);
       if (changes.records.length > 0 || changes.revision > getRevision()) onChanges(changes);
     } catch (error) {
       onLost(member, (error as Error).message);
--- a/packages/gateway/src/peers/index.ts
+++ b/packages/gateway/src/peers/index.ts
@@ -1,3 +1,3 @@
-export type { DispatcherReport, FollowRequest, ReportedOutcome } from './messages.js';
+export type { FollowRequest } from './messages.js';
 export { createPeerApp } from './peer-app.js';
-export type { GatewayPeerRouter, PeerHandlers } from './router.js';
+export type { FollowAnswer, GatewayPeerRouter, PeerHandlers } from './router.js';
--- a/packages/gateway/src/reports/dispatcher-reports.ts
+++ b/packages/gateway/src/reports/dispatcher-reports.ts
@@ -3,24 +3,24 @@
  * attempts. Messages are bounded in rate and size; what does not fit is the oldest, which matters
  * least.
  */
-import type { Clock, Member } from '@baobabline/core';
+import type { Clock } from '@baobabline/core';
 
-import type { DispatcherReport, ReportedOutcome } from '../peers/index.js';
+import { computeUpstreamName } from './report-message.js';
+import type { DispatcherReport } from './report-message.js';
 
 export type ReportPorts = {
   readonly clock: Clock;
   readonly selfId: string;
-  /** Dispatchers other than this daemon. */
-  readonly listReceivers: () => readonly Member[];
-  readonly getRevision: () => number;
+  readonly incarnation: number;
   readonly listInFlight: () => readonly (readonly [string, number])[];
-  readonly send: (member: Member, report: DispatcherReport) => Promise<void>;
+  /** Sends a report to the other dispatchers. */
+  readonly send: (report: DispatcherReport) => void;
 };
 
-/** Shortest time between two reports, in milliseconds: news is old after a few of them. */
-const NEWS_INTERVAL_MS = 25;
-/** Longest time between two reports while requests are in flight. */
-const CALM_INTERVAL_MS = 250;
+/** How long news of an outcome waits for more: each request sent meanwhile may fail like it. */
+const OUTCOME_DELAY_MS = 10;
+/** How long news of the load waits for more; an attempt takes several times as long. */
+const LOAD_DELAY_MS = 60;
 const MAX_OUTCOMES = 64;
 
 type SeenOutcome = { readonly upstreamId: string; readonly isGood: boolean; readonly at: number };
@@ -30,11 +30,11 @@
 
   #outcomes: readonly SeenOutcome[] = [];
 
-  #hasNews = false;
+  #sequence = 0;
 
-  #sentAt = Number.NEGATIVE_INFINITY;
+  #timer: NodeJS.Timeout | undefined;
 
-  #wasBusy = false;
+  #dueAt = Number.POSITIVE_INFINITY;
 
   constructor(ports: ReportPorts) {
     this.#ports = ports;
@@ -44,48 +44,46 @@
   recordOutcome(upstreamId: string, isGood: boolean): void {
     const seen = { upstreamId, isGood, at: this.#ports.clock.now() };
     this.#outcomes = [...this.#outcomes, seen].slice(-MAX_OUTCOMES);
-    this.#hasNews = true;
+    this.#schedule(OUTCOME_DELAY_MS);
   }
 
   /** Notes that requests in flight have changed. */
   recordLoad(): void {
-    this.#hasNews = true;
+    this.#schedule(LOAD_DELAY_MS);
   }
 
-  /** Sends a report if one is due. */
-  runTick(): void {
-    const now = this.#ports.clock.now();
-    const age = now - this.#sentAt;
-    const inFlight = this.#ports.listInFlight();
-    const isBusy = inFlight.length > 0 || this.#wasBusy;
-    const isDue = this.#hasNews ? age >= NEWS_INTERVAL_MS : isBusy && age >= CALM_INTERVAL_MS;
-    if (!isDue) return;
-    this.#wasBusy = inFlight.length > 0;
-    this.#sentAt = now;
-    this.#send(this.#buildReport(inFlight, now));
+  stop(): void {
+    clearTimeout(this.#timer);
+  }
+
+  #schedule(delayMs: number): void {
+    const dueAt = this.#ports.clock.now() + delayMs;
+    if (dueAt >= this.#dueAt) return;
+    this.#dueAt = dueAt;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => this.#send(), delayMs);
+  }
+
+  #send(): void {
+    this.#dueAt = Number.POSITIVE_INFINITY;
+    this.#sequence += 1;
+    this.#ports.send(this.#buildReport());
     this.#outcomes = [];
-    this.#hasNews = false;
   }
 
-  #buildReport(inFlight: readonly (readonly [string, number])[], now: number): DispatcherReport {
-    const outcomes: ReportedOutcome[] = this.#outcomes.map(({ upstreamId, isGood, at }) => ({
-      upstreamId,
-      isGood,
-      ageMs: now - at,
-    }));
-    const { selfId, getRevision } = this.#ports;
+  #buildReport(): DispatcherReport {
+    const { selfId, incarnation, listInFlight, clock } = this.#ports;
+    const now = clock.now();
     return {
       reporterId: selfId,
-      revision: getRevision(),
-      inFlight: inFlight.map(([id, count]): [string, number] => [id, count]),
-      outcomes,
+      incarnation,
+      sequence: this.#sequence,
+      inFlight: listInFlight().map(([id, count]) => [computeUpstreamName(id), count] as const),
+      outcomes: this.#outcomes.map(({ upstreamId, isGood, at }) => ({
+        upstream: computeUpstreamName(upstreamId),
+        isGood,
+        ageMs: now - at,
+      })),
     };
   }
-
-  #send(report: DispatcherReport): void {
-    this.#ports.listReceivers().forEach((member) => {
-      // A lost report is made up for by the next; who is gone is found by following and gossip.
-      this.#ports.send(member, report).catch(() => undefined);
-    });
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/reports/report-message.ts
@@ -0,0 +1,67 @@
+/**
+ * The datagram by which dispatchers tell each other what they have just seen. Upstreams are named
+ * by a hash of their id, and arrays stand in the place of names, since dozens are sent a second.
+ */
+import { hashText } from '@baobabline/core';
+import { pack, unpack } from 'msgpackr';
+import { z } from 'zod';
+
+/** What one attempt has shown of an upstream. */
+export type ReportedOutcome = {
+  readonly upstream: number;
+  readonly isGood: boolean;
+  /** How long ago the attempt ended, in milliseconds. */
+  readonly ageMs: number;
+};
+
+export type DispatcherReport = {
+  readonly reporterId: string;
+  /** Start of the reporter and number of the report, so that late datagrams are known. */
+  readonly incarnation: number;
+  readonly sequence: number;
+  /** Upstreams and the requests that the reporter has in flight there. */
+  readonly inFlight: readonly (readonly [upstream: number, count: number])[];
+  readonly outcomes: readonly ReportedOutcome[];
+};
+
+const messageSchema = z.tuple([
+  z.string(),
+  z.number(),
+  z.number(),
+  z.array(z.tuple([z.number(), z.number()])),
+  z.array(z.tuple([z.number(), z.number(), z.number()])),
+]);
+
+/** The name of an upstream in reports. */
+export function computeUpstreamName(upstreamId: string): number {
+  return hashText(upstreamId);
+}
+
+/** Turns a report into a datagram. */
+export function formatReport(report: DispatcherReport): Buffer {
+  const { reporterId, incarnation, sequence, inFlight, outcomes } = report;
+  const rows = outcomes.map(({ upstream, isGood, ageMs }) => [
+    upstream,
+    isGood ? 1 : 0,
+    Math.round(ageMs),
+  ]);
+  return pack([reporterId, incarnation, sequence, inFlight, rows]);
+}
+
+/** Reads a datagram; undefined if it is no report. */
+export function parseReport(datagram: Buffer): DispatcherReport | undefined {
+  const parsed = messageSchema.safeParse(readMessage(datagram));
+  if (!parsed.success) return undefined;
+  const [reporterId, incarnation, sequence, inFlight, rows] = parsed.data;
+  const outcomes = rows.map(([upstream, good, ageMs]) => ({ upstream, isGood: good === 1, ageMs }));
+  return { reporterId, incarnation, sequence, inFlight, outcomes };
+}
+
+function readMessage(datagram: Buffer): unknown {
+  try {
+    return unpack(datagram);
+  } catch {
+    // Bytes of anything else on the port: the check that follows refuses them.
+    return undefined;
+  }
+}
--- a/packages/gateway/src/requests/peer-loads.ts
+++ b/packages/gateway/src/requests/peer-loads.ts
@@ -3,10 +3,10 @@
  */
 import type { Clock } from '@baobabline/core';
 
-/** A dispatcher that has been silent for so long is taken to send nothing any more. */
+/** A dispatcher that has been silent for so long is taken to have nothing in flight any more. */
 const MAX_AGE_MS = 1000;
 
-type PeerLoad = { readonly at: number; readonly inFlight: ReadonlyMap<string, number> };
+type PeerLoad = { readonly at: number; readonly inFlight: ReadonlyMap<number, number> };
 
 export class PeerLoads {
   readonly #clock: Clock;
@@ -17,15 +17,16 @@
     this.#clock = clock;
   }
 
-  /** Takes in what a peer has in flight: upstream ids and counts. */
-  record(peerId: string, inFlight: readonly (readonly [string, number])[]): void {
+  /** Takes in what a peer has in flight: names of upstreams in reports, and counts. */
+  record(peerId: string, inFlight: readonly (readonly [number, number])[]): void {
     this.#peers.set(peerId, { at: this.#clock.now(), inFlight: new Map(inFlight) });
   }
 
-  count(upstreamId: string): number {
+  /** Counts what the peers have in flight at an upstream, by its name in reports. */
+  count(upstream: number): number {
     const oldest = this.#clock.now() - MAX_AGE_MS;
     return [...this.#peers.values()]
       .filter(({ at }) => at >= oldest)
-      .reduce((sum, { inFlight }) => sum + (inFlight.get(upstreamId) ?? 0), 0);
+      .reduce((sum, { inFlight }) => sum + (inFlight.get(upstream) ?? 0), 0);
   }
 }
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -18,6 +18,8 @@
   readonly random: RandomSource;
   readonly dialect: HttpDialect;
   readonly times: AttemptTimes;
+  /** Called when requests in flight have changed. */
+  readonly onLoadChange: () => void;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
 };
 
@@ -119,6 +121,7 @@
     const choice = this.#desk.choose({
       isRepeatable: this.#isRepeatable,
       canTryAgain: this.#canTryAgain,
+      bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
     if (!choice) return false;
@@ -157,6 +160,7 @@
     this.#tried.add(upstreamId);
     this.#sentCount += 1;
     state.recordStart();
+    this.#ports.onLoadChange();
     const attempt: Attempt = {
       upstreamId,
       state,
@@ -213,9 +217,10 @@
     const choice = this.#desk.choose({
       isRepeatable: true,
       canTryAgain: false,
+      bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
-    if (choice?.reason !== 'trusted' || !this.#desk.allowance.takeRepeat()) return;
+    if (choice?.reason !== 'trusted' || !this.#desk.takeHedge()) return;
     this.#launch(choice, true);
   }
 
@@ -231,6 +236,7 @@
     clearTimeout(attempt.overdueTimer);
     this.#attempts = this.#attempts.filter((other) => other !== attempt);
     attempt.state.recordEnd();
+    this.#ports.onLoadChange();
   }
 
   #handleAnswer(
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -45,9 +45,17 @@
 export type PlacementNeeds = {
   readonly isRepeatable: boolean;
   readonly canTryAgain: boolean;
+  readonly bodyBytes: number;
   readonly excluded: ReadonlySet<string>;
 };
 
+/** Tests leave this part of the allowance to requests that fail unexpectedly. */
+const MIN_SHARE_FOR_TESTS = 0.5;
+/** Hedges leave this part of the allowance to requests that fail. */
+const MIN_SHARE_FOR_HEDGES = 0.3;
+/** While requests wait, room is looked for so often, in milliseconds. */
+const LINE_POLL_MS = 10;
+
 export class ServiceDesk {
   readonly name: string;
 
@@ -61,6 +69,8 @@
 
   #meanAttemptMs = 150;
 
+  #poll: NodeJS.Timeout | undefined;
+
   constructor(name: string, ports: DeskPorts) {
     this.name = name;
     this.#ports = ports;
@@ -100,7 +110,11 @@
       .filter((state) => !state.isPaused(now))
       .map((state) => this.#buildCandidate(state, now));
     return chooseUpstream(
-      { ...needs, dataCentre: this.#ports.dataCentre },
+      {
+        ...needs,
+        mayTest: this.allowance.getShareLeft() >= MIN_SHARE_FOR_TESTS,
+        dataCentre: this.#ports.dataCentre,
+      },
       candidates,
       this.#ports.random,
     );
@@ -129,8 +143,14 @@
     );
   }
 
+  /** Takes a hedge out of the allowance if enough of it is left. */
+  takeHedge(): boolean {
+    return this.allowance.getShareLeft() >= MIN_SHARE_FOR_HEDGES && this.allowance.takeRepeat();
+  }
+
   wait(waiter: Waiter): void {
     this.#line.add(waiter);
+    this.#startPolling();
   }
 
   removeWaiting(id: string): void {
@@ -147,10 +167,8 @@
     });
   }
 
+  /** Closes connections that have been idle for long. */
   runTick(): void {
-    const now = this.#ports.clock.now();
-    this.#line.takeExpired(now).forEach((waiter) => waiter.onExpired());
-    this.serveLine();
     this.#upstreams.forEach(({ pool }) => pool.runTick());
   }
 
@@ -165,6 +183,16 @@
     this.#meanAttemptMs += (elapsedMs - this.#meanAttemptMs) * 0.05;
   }
 
+  /** Room may also come from peers and from pauses that end, which no event tells. */
+  #startPolling(): void {
+    this.#poll ??= setTimeout(() => {
+      this.#poll = undefined;
+      this.#line.takeExpired(this.#ports.clock.now()).forEach((waiter) => waiter.onExpired());
+      this.serveLine();
+      if (this.#line.size > 0) this.#startPolling();
+    }, LINE_POLL_MS);
+  }
+
   #drop(id: string, state: UpstreamState): void {
     state.pool.close();
     this.#upstreams.delete(id);
@@ -182,8 +210,8 @@
     );
   }
 
-  #countInFlight({ record, inFlight }: UpstreamState): number {
-    return inFlight + this.#ports.peerLoads.count(record.id);
+  #countInFlight({ reportName, inFlight }: UpstreamState): number {
+    return inFlight + this.#ports.peerLoads.count(reportName);
   }
 
   /** The part of the room that this dispatcher gets, judged by what it has in flight. */
--- a/packages/gateway/src/requests/upstream-state.ts
+++ b/packages/gateway/src/requests/upstream-state.ts
@@ -4,12 +4,16 @@
  */
 import type { RegisteredUpstream } from '@baobabline/core';
 
+import { computeUpstreamName } from '../reports/index.js';
 import type { UpstreamPool } from '../upstreams/index.js';
 
 /** How long an upstream that turned a request away is left alone, in milliseconds. */
 const SHED_PAUSE_MS = 150;
 
 export class UpstreamState {
+  /** Its name in reports. */
+  readonly reportName: number;
+
   #record: RegisteredUpstream;
 
   readonly pool: UpstreamPool;
@@ -25,6 +29,7 @@
 
   constructor(record: RegisteredUpstream, pool: UpstreamPool, warmUntil: number) {
     this.#record = record;
+    this.reportName = computeUpstreamName(record.id);
     this.pool = pool;
     this.warmUntil = warmUntil;
   }
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -12,6 +12,8 @@
 } from '@baobabline/core';
 
 import type { HttpDialect } from '../dialect/index.js';
+import { computeUpstreamName } from '../reports/index.js';
+import type { DispatcherReport } from '../reports/index.js';
 import {
   AttemptTimes,
   PeerLoads,
@@ -67,6 +69,9 @@
 
   #seenChanges = -1;
 
+  /** Ids of upstreams by their names in reports. */
+  #reportNames: ReadonlyMap<number, string> = new Map();
+
   constructor(ports: ServicePorts) {
     this.#ports = ports;
     this.peerLoads = new PeerLoads(ports.clock);
@@ -100,7 +105,9 @@
     this.#seenChanges = replica.changeCount;
     const hasNewRoutes = this.#refreshRoutes();
     const groups = groupByService(replica.listUpstreams());
-    this.#trust.keep(new Set(replica.listUpstreams().map(({ id }) => id)));
+    const ids = replica.listUpstreams().map(({ id }) => id);
+    this.#trust.keep(new Set(ids));
+    this.#reportNames = new Map(ids.map((id) => [computeUpstreamName(id), id]));
     const names = new Set([...groups.keys(), ...this.#desks.keys()]);
     names.forEach((name) => this.#getDesk(name).applyRecords(groups.get(name) ?? []));
     return hasNewRoutes;
@@ -109,17 +116,19 @@
   /** Serves a request; the returned function gives it up. */
   serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): () => void {
     const desk = this.#getDesk(request.service);
-    const { clock, random, dialect, onStep } = this.#ports;
-    const times = this.#times;
-    const run = new RequestRun(request, desk, { clock, random, dialect, times, onStep }, onEnd);
+    const run = new RequestRun(request, desk, { ...this.#ports, times: this.#times }, onEnd);
     run.start();
     return () => run.cancel();
   }
 
-  /** Takes in an outcome that another dispatcher has seen. */
-  applyPeerOutcome(upstreamId: string, isGood: boolean, at: number): void {
-    const change = this.#trust.record({ upstreamId, isGood, at });
-    if (change) this.#ports.onTrustChange(upstreamId, change);
+  /** Takes in what another dispatcher has reported. */
+  applyReport({ reporterId, inFlight, outcomes }: DispatcherReport): void {
+    const now = this.#ports.clock.now();
+    this.peerLoads.record(reporterId, inFlight);
+    outcomes.forEach(({ upstream, isGood, ageMs }) => {
+      const upstreamId = this.#reportNames.get(upstream);
+      if (upstreamId !== undefined) this.#applyOutcome(upstreamId, isGood, now - ageMs);
+    });
   }
 
   runTick(): void {
@@ -130,6 +139,15 @@
     this.#desks.forEach((desk) => desk.applyRecords([]));
   }
 
+  #applyOutcome(upstreamId: string, isGood: boolean, at: number): void {
+    const change = this.#trust.record({ upstreamId, isGood, at });
+    if (change) this.#ports.onTrustChange(upstreamId, change);
+  }
+
+  #isSuspect(upstreamId: string): boolean {
+    return this.#trust.isSuspect(upstreamId, this.#ports.clock.now());
+  }
+
   #refreshRoutes(): boolean {
     const { configuration } = this.#ports.replica;
     if (!configuration || configuration === this.#routes?.configuration) return false;
@@ -157,7 +175,9 @@
       },
       createUpstream: (record) => this.#createUpstream(record),
       onOutcome: (upstreamId, isGood, change) => {
-        this.#ports.onOutcome(upstreamId, isGood);
+        // A good answer of a trusted upstream is no news to anybody.
+        const isNews = !isGood || change !== undefined || this.#isSuspect(upstreamId);
+        if (isNews) this.#ports.onOutcome(upstreamId, isGood);
         if (change) this.#ports.onTrustChange(upstreamId, change);
       },
     });
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -32,6 +32,8 @@
   readiness: endpointSchema,
   /** Where the other daemons reach this one. */
   peers: endpointSchema,
+  /** Where dispatchers send their reports, by UDP; the port is the same on all VMs. */
+  reports: endpointSchema,
   /** Where Prometheus finds the metrics; none are served without it. */
   metrics: endpointSchema.optional(),
   /** Daemons that are asked first; they may be gone or out of date. */
