Tell a reset from an end, and start without fastify and undici

Node reports a reset that arrives together with data as an end of the stream, so the error never shows. Ruled out: the parser (the framing was open) and the upstream ending its side.

Change: before an answer without a length counts as whole, an empty line is written; on a reset connection the write fails.

--- a/bin/bundle.js
+++ b/bin/bundle.js
@@ -27,6 +27,9 @@
     format: 'esm',
     alias: WORKSPACES,
     banner: { js: REQUIRE_BANNER },
+    minify: true,
+    keepNames: true,
+    legalComments: 'none',
     logLevel: 'error',
   });
 }
--- a/packages/core/src/configuration/parts.ts
+++ b/packages/core/src/configuration/parts.ts
@@ -3,7 +3,7 @@
  * name is then a manifest that names immutable parts with their digests; readers fetch the parts
  * and put them together, so a half-published document is never seen.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { BaseError } from '../results/index.js';
 
--- a/packages/core/src/knowledge/types.ts
+++ b/packages/core/src/knowledge/types.ts
@@ -2,7 +2,7 @@
  * What daemons know of the world outside and pass on to each other: the routing configuration and
  * the registered upstreams, each as the published record of a key at a revision.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { routingConfigurationSchema } from '../routes/index.js';
 
--- a/packages/core/src/lists/schemas.ts
+++ b/packages/core/src/lists/schemas.ts
@@ -2,7 +2,7 @@
  * Checks of the lists' shape. Unknown fields are refused, so that a misspelt field cannot
  * silently lose its meaning.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_BODY_BYTES_LIMIT = 64 * 1024 * 1024;
 const DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024;
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -2,7 +2,7 @@
  * The operators' routing configuration: which requests go to which service, for how long, and
  * what a caller may send. The schemas check what comes from outside; the types follow from them.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** `safe` requests may run more than once; `unsafe` and `upload` run at most once. */
 export const ROUTE_KINDS = ['safe', 'unsafe', 'upload'] as const;
--- a/packages/daemon/src/peers/index.ts
+++ b/packages/daemon/src/peers/index.ts
@@ -4,3 +4,4 @@
 export { exchangeSchema, probeSchema } from './messages.js';
 export type { ExchangeAnswer, ExchangeMessage, ProbeRequest } from './messages.js';
 export { PeerClient } from './peer-client.js';
+export { PeerClients } from './peer-clients.js';
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -2,7 +2,7 @@
  * Messages between daemons, checked on arrival.
  */
 import { DOCUMENT_NAMES } from '@baobabline/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const memberSchema = z.object({
   id: z.string(),
--- a/packages/daemon/src/peers/peer-client.ts
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -2,32 +2,26 @@
  * Calls to other daemons. Requests go through undici's plain interface rather than `fetch`, which
  * costs several times the processor time, and their bytes are counted.
  */
-import { createTRPCClient, httpLink } from '@trpc/client';
-import type { HTTPLinkOptions, TRPCClient } from '@trpc/client';
-import type { AnyTRPCRouter } from '@trpc/server';
-import { LRUCache } from 'lru-cache';
+import type { TRPCClient } from '@trpc/client';
 import { Agent, request as sendHttp } from 'undici';
 
 import type { Endpoint } from '../settings/index.js';
 import type { PeerRouter } from './app.js';
 import type { ControlMeter } from './control-meter.js';
+import { PeerClients } from './peer-clients.js';
 
 const CALL_TIMEOUT_MS = 700;
 const CONNECT_TIMEOUT_MS = 400;
 const KEEP_ALIVE_MS = 30_000;
-const KEPT_PEERS = 1024;
 
-type FetchOptions = { readonly body?: unknown; readonly headers?: unknown };
-
-/** Typed by the router that the peers serve. */
-export class PeerClient<Router extends AnyTRPCRouter = PeerRouter> {
+export class PeerClient {
   readonly #agent = new Agent({
     connections: 2,
     connect: { timeout: CONNECT_TIMEOUT_MS },
     keepAliveTimeout: KEEP_ALIVE_MS,
   });
 
-  readonly #clients = new LRUCache<string, TRPCClient<Router>>({ max: KEPT_PEERS });
+  readonly #clients = new PeerClients<PeerRouter>(async (url, body) => this.#send(url, body));
 
   readonly #findEndpoint: (endpoint: Endpoint) => Endpoint;
 
@@ -40,27 +34,18 @@
   }
 
   /** The typed client of the daemon at an address. */
-  connect(endpoint: Endpoint): TRPCClient<Router> {
-    const { address, port } = this.#findEndpoint(endpoint);
-    const origin = `http://${address}:${port}`;
-    const known = this.#clients.get(origin);
-    if (known) return known;
-    // No router of ours transforms its messages, which the type cannot know of any router.
-    const options = {
-      url: `${origin}/trpc`,
-      fetch: async (url: unknown, init?: FetchOptions) => this.#send(String(url), init ?? {}),
-    } as unknown as HTTPLinkOptions<Router['_def']['_config']['$types']>;
-    const client = createTRPCClient<Router>({ links: [httpLink(options)] });
-    this.#clients.set(origin, client);
-    return client;
+  connect(endpoint: Endpoint): TRPCClient<PeerRouter> {
+    return this.#clients.connect(this.#findEndpoint(endpoint));
   }
 
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
 
-  async #send(url: string, options: FetchOptions): Promise<Response> {
-    const body = String(options.body ?? '');
+  async #send(
+    url: string,
+    body: string,
+  ): Promise<{ readonly status: number; readonly text: string }> {
     const response = await sendHttp(url, {
       dispatcher: this.#agent,
       method: 'POST',
@@ -71,10 +56,6 @@
     });
     const text = await response.body.text();
     this.#meter.recordCall(body.length, text.length);
-    return {
-      ok: response.statusCode < 400,
-      status: response.statusCode,
-      json: async () => JSON.parse(text) as unknown,
-    } as unknown as Response;
+    return { status: response.statusCode, text };
   }
 }
--- a/packages/daemon/src/runtime/key-value-client.ts
+++ b/packages/daemon/src/runtime/key-value-client.ts
@@ -2,7 +2,7 @@
  * Reads and watches the platform's services through Consul's key-value HTTP interface.
  */
 import { Agent, request as sendHttp } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { Endpoint } from '../settings/index.js';
 
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -11,7 +11,7 @@
 } from '@baobabline/core';
 import type { Fault } from '@baobabline/core';
 import { readFile } from 'node:fs/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const nameSchema = z
   .string()
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -74,7 +74,7 @@
    * history since then.
    */
   watch(afterRevision: number, waitMs: number): Promise<Changes | undefined>;
-  close(): Promise<void>;
+  close(): void;
 }
 
 /** All that differs between platforms. */
--- a/packages/gateway/src/directory/index.ts
+++ b/packages/gateway/src/directory/index.ts
@@ -1,1 +1,1 @@
-export { createDirectoryApp, createReadinessApp } from './directory-app.js';
+export { createDirectoryServer, createReadinessServer } from './directory-server.js';
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -9,9 +9,11 @@
   Membership,
 } from '@baobabline/core';
 import type { Changes, Clock, Member, RandomSource } from '@baobabline/core';
-import { ControlMeter, Gossip, PeerClient } from '@baobabline/daemon';
+import { Gossip, PeerClients } from '@baobabline/daemon';
 import type { Log } from '@baobabline/daemon';
 
+import { HttpCalls } from '../http/index.js';
+import type { CallAnswer } from '../http/index.js';
 import { PeerFollower } from '../knowledge/index.js';
 import type { GatewayPeerRouter } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
@@ -28,6 +30,9 @@
 /** A round of gossip; in calm only each third brings an exchange. */
 const GOSSIP_MS = 500;
 const ANNOUNCE_TO = 6;
+const KEEP_ALIVE_MS = 30_000;
+/** Covers the longest wait of a peer that is followed. */
+const CALL_TIMEOUT_MS = 700;
 
 /** Gossip here carries members alone; records travel by following. */
 const NO_DOCUMENTS = { listVersions: () => [], getVersion: () => 0 };
@@ -41,7 +46,11 @@
 
   readonly #ports: FleetPorts;
 
-  readonly #client = new PeerClient<GatewayPeerRouter>((endpoint) => endpoint, new ControlMeter());
+  readonly #calls = new HttpCalls({ connections: 2, keepAliveMs: KEEP_ALIVE_MS });
+
+  readonly #client = new PeerClients<GatewayPeerRouter>(async (url, body) =>
+    this.#sendCall(url, body),
+  );
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -96,16 +105,20 @@
       .filter(({ id }) => id !== this.#ports.settings.id);
   }
 
-  async close(): Promise<void> {
+  close(): void {
     clearInterval(this.#timer);
     this.follower.stop();
-    await this.#client.close();
+    this.#calls.close();
   }
 
   get #count(): number {
     return this.#ports.settings.dispatchersPerDataCentre;
   }
 
+  async #sendCall(url: string, body: string): Promise<CallAnswer> {
+    return this.#calls.send({ url, method: 'POST', body, timeoutMs: CALL_TIMEOUT_MS });
+  }
+
   #createSelf(): Member {
     const { id, dataCentre, callers, peers } = this.#ports.settings;
     return {
@@ -120,7 +133,7 @@
     };
   }
 
-  #connect({ address, peerPort }: Member): ReturnType<PeerClient<GatewayPeerRouter>['connect']> {
+  #connect({ address, peerPort }: Member): ReturnType<PeerClients<GatewayPeerRouter>['connect']> {
     return this.#client.connect({ address, port: peerPort });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,15 +6,16 @@
 import type { Changes, RequestError } from '@baobabline/core';
 import { createLog, createProcessRandom, systemClock } from '@baobabline/daemon';
 import type { Log } from '@baobabline/daemon';
-import type { FastifyInstance } from 'fastify';
+import type { Server } from 'node:http';
 import { setTimeout as wait } from 'node:timers/promises';
 
 import type { DirectoryAnswer, DirectoryQuestion, PlatformPorts } from './dialect/index.js';
-import { createDirectoryApp, createReadinessApp } from './directory/index.js';
+import { createDirectoryServer, createReadinessServer } from './directory/index.js';
 import { CallerServer } from './edge/index.js';
 import { FleetLinks } from './fleet/index.js';
+import { closeServer, listenOn } from './http/index.js';
 import { ChangeWaiters, StoreReader } from './knowledge/index.js';
-import { createPeerApp } from './peers/index.js';
+import { createPeerServer } from './peers/index.js';
 import { DispatcherReports, ReportSocket } from './reports/index.js';
 import type { DispatcherReport } from './reports/index.js';
 import type { RequestStep, RoutedRequest } from './requests/index.js';
@@ -70,7 +71,7 @@
 
   #phase: GatewayPhase = 'joining';
 
-  #apps: readonly FastifyInstance[] = [];
+  #servers: readonly Server[] = [];
 
   #timers: readonly NodeJS.Timeout[] = [];
 
@@ -93,20 +94,20 @@
   /** Listens and joins the fleet; resolves once requests are served. */
   async start(): Promise<void> {
     const { callers, directory, readiness, peers, reports } = this.#settings;
-    const peerApp = await this.#createPeerApp();
-    const directoryApp = createDirectoryApp({
+    const peerServer = this.#createPeerServer();
+    const directoryServer = createDirectoryServer({
       dialect: this.#platform.directory,
       answer: (question) => this.#answerDirectory(question),
     });
-    const readinessApp = createReadinessApp({
+    const readinessServer = createReadinessServer({
       dialect: this.#platform.directory,
       isReady: () => this.#phase === 'serving',
     });
-    this.#apps = [peerApp, directoryApp, readinessApp];
+    this.#servers = [peerServer, directoryServer, readinessServer];
     await Promise.all([
-      peerApp.listen({ host: peers.address, port: peers.port }),
-      directoryApp.listen({ host: directory.address, port: directory.port }),
-      readinessApp.listen({ host: readiness.address, port: readiness.port }),
+      listenOn(peerServer, peers.address, peers.port),
+      listenOn(directoryServer, directory.address, directory.port),
+      listenOn(readinessServer, readiness.address, readiness.port),
       this.#callers.listen(callers.address, callers.port),
       this.#reportSocket.listen(reports.address, reports.port),
     ]);
@@ -160,8 +161,9 @@
     this.#reports.stop();
     this.#reportSocket.close();
     await this.#callers.close();
-    await Promise.all(this.#apps.map((app) => app.close()));
-    await Promise.all([this.#fleet.close(), this.#platform.source.close()]);
+    await Promise.all(this.#servers.map(closeServer));
+    this.#fleet.close();
+    this.#platform.source.close();
   }
 
   async #waitForConfiguration(): Promise<void> {
@@ -247,8 +249,8 @@
     });
   }
 
-  async #createPeerApp(): Promise<FastifyInstance> {
-    return createPeerApp({
+  #createPeerServer(): Server {
+    return createPeerServer({
       exchange: (message) => this.#fleet.gossip.handleExchange(message),
       probe: async (target) => this.#fleet.gossip.handleProbe(target),
       follow: async ({ revision, waitMs }) => ({
--- /dev/null
+++ b/packages/gateway/src/http/index.ts
@@ -0,0 +1,4 @@
+export { HttpCalls } from './http-calls.js';
+export type { Call, CallAnswer, CallSettings } from './http-calls.js';
+export { closeServer, createJsonServer, listenOn } from './json-server.js';
+export type { JsonAnswer, JsonHandler } from './json-server.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
   RecordSource,
   UpstreamHead,
 } from './dialect/index.js';
+export { HttpCalls } from './http/index.js';
 export { Gateway } from './gateway.js';
 export type { GatewayPhase } from './gateway.js';
 export { gatewaySettingsSchema, parseGatewaySettings } from './settings/index.js';
--- a/packages/gateway/src/peers/index.ts
+++ b/packages/gateway/src/peers/index.ts
@@ -1,3 +1,3 @@
 export type { FollowRequest } from './messages.js';
-export { createPeerApp } from './peer-app.js';
+export { createPeerServer } from './peer-server.js';
 export type { FollowAnswer, GatewayPeerRouter, PeerHandlers } from './router.js';
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages between gateway daemons, checked on arrival.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Asks for records after a revision, and waits for them for a while. */
 export const followSchema = z.object({
--- a/packages/gateway/src/reports/report-message.ts
+++ b/packages/gateway/src/reports/report-message.ts
@@ -4,7 +4,7 @@
  */
 import { hashText } from '@baobabline/core';
 import { pack, unpack } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What one attempt has shown of an upstream. */
 export type ReportedOutcome = {
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -4,7 +4,7 @@
  */
 import { checkShape, formatFault } from '@baobabline/core';
 import { SettingsError } from '@baobabline/daemon';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const endpointSchema = z.strictObject({
   address: z.union([z.ipv4(), z.ipv6()], 'must be an IP address'),
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -24,6 +24,9 @@
   readonly onClosed: (connection: UpstreamConnection) => void;
 };
 
+/** An empty line, which means nothing to a server that has ended its side. */
+const PROBE = '\r\n';
+
 type Exchange = {
   readonly request: ExchangeRequest;
   readonly onEnd: EndHandler;
@@ -85,7 +88,12 @@
       onBody: (chunk) => this.#handleBody(chunk),
       onEnd: () => this.#handleMessageEnd(),
     });
-    this.#socket = connect({ host: ports.address, port: ports.port, noDelay: true });
+    this.#socket = connect({
+      host: ports.address,
+      port: ports.port,
+      noDelay: true,
+      allowHalfOpen: true,
+    });
     this.#connectTimer = setTimeout(
       () => this.#closeWith({ kind: 'unsent', reason: 'no connection in time' }),
       ports.connectTimeoutMs,
@@ -225,11 +233,20 @@
   }
 
   #handleFinish(): void {
-    if (this.#exchange && !this.#hadError) {
-      const fault = this.#parser.finish();
-      if (fault && this.#collected) this.#closeWith({ kind: 'invalid', reason: fault.message });
+    if (this.#hadError || !this.#collected) {
+      this.#handleLoss('connection ended');
+      return;
     }
-    this.#handleLoss('connection ended');
+    // Node tells a reset that arrives together with data as an end. Only a write shows it.
+    this.#socket.write(PROBE, (error) => {
+      if (error) this.#handleLoss('connection reset');
+      else this.#finishUnframed();
+    });
+  }
+
+  #finishUnframed(): void {
+    const fault = this.#parser.finish();
+    this.#handleLoss(fault?.message ?? 'connection ended');
   }
 
   #handleLoss(reason: string): void {
