--- a/bin/run-tests.js
+++ b/bin/run-tests.js
@@ -18,15 +18,19 @@
     .map((line) => line.slice('test: '.length).trim());
 }
 
+function listWorkspaces() {
+  return [...readdirSync('packages').map((name) => join('packages', name)), 'platform'];
+}
+
 function listTestFiles() {
-  return readdirSync('packages').flatMap((name) => {
-    const folder = join('packages', name, 'dist');
+  return listWorkspaces().flatMap((workspace) => {
+    const folder = join(workspace, 'dist');
     return readdirSync(folder, { recursive: true })
       .map(String)
       .filter(
         (file) =>
           file.endsWith('.test.js') &&
-          existsSync(join('packages', name, 'src', file.replace(/\.js$/, '.ts'))),
+          existsSync(join(workspace, 'src', file.replace(/\.js$/, '.ts'))),
       )
       .map((file) => join(folder, file));
   });
--- /dev/null
+++ b/packages/core/src/knowledge/replica.test.ts
@@ -0,0 +1,108 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { Replica } from './index.js';
+import type { KnownRecord, RegisteredUpstream } from './index.js';
+import type { RoutingConfiguration } from '../routes/index.js';
+
+function buildUpstream(id: string): RegisteredUpstream {
+  return {
+    id,
+    service: 's',
+    address: '10.0.0.1',
+    port: 80,
+    dataCentre: 'z',
+    slots: 3,
+    state: 'ready',
+    warmUpMs: 0,
+    bornAt: 1,
+  };
+}
+
+function buildRecord(id: string, revision: number): KnownRecord {
+  return { key: `servers/${id}`, revision, upstream: buildUpstream(id) };
+}
+
+function buildConfiguration(version: number): RoutingConfiguration {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  return { version, routes: [], limits };
+}
+
+function listIds(replica: Replica): readonly string[] {
+  return replica
+    .listUpstreams()
+    .map(({ id }) => id)
+    .sort();
+}
+
+describe('the replica', () => {
+  it('never lets an older record or a stale whole copy take knowledge back', () => {
+    const replica = new Replica();
+    replica.applyChanges({ records: [buildRecord('a', 5)], revision: 5, isWhole: true }, 0);
+    replica.applyChanges(
+      { records: [{ key: 'servers/a', revision: 7 }], revision: 7, isWhole: false },
+      0,
+    );
+    replica.applyChanges({ records: [buildRecord('a', 5)], revision: 6, isWhole: true }, 0);
+    expect(listIds(replica)).to.deep.equal([]);
+    expect(replica.revision).to.equal(7);
+  });
+
+  it('holds what a whole copy does not name to be gone, unless it is newer than the copy', () => {
+    const replica = new Replica();
+    replica.applyChanges(
+      { records: [buildRecord('a', 3), buildRecord('b', 9)], revision: 9, isWhole: true },
+      0,
+    );
+    replica.applyChanges({ records: [], revision: 8, isWhole: true }, 0);
+    expect(listIds(replica)).to.deep.equal(['b']);
+  });
+
+  it('keeps the highest configuration, whatever the key holds later', () => {
+    const replica = new Replica();
+    const key = 'op/config';
+    replica.applyRecords([{ key, revision: 4, configuration: buildConfiguration(8) }], 0);
+    replica.applyRecords([{ key, revision: 5, configuration: buildConfiguration(6) }], 0);
+    replica.applyRecords([{ key, revision: 6 }], 0);
+    expect(replica.configuration?.version).to.equal(8);
+  });
+
+  it('brings another replica up to its own state from any revision', () => {
+    const events = fc.array(
+      fc.record({ id: fc.constantFrom('a', 'b', 'c', 'd'), isRemoved: fc.boolean() }),
+      { minLength: 1, maxLength: 30 },
+    );
+    fc.assert(
+      fc.property(events, fc.nat(30), (rows, cut) => {
+        const records = rows.map(({ id, isRemoved }, index): KnownRecord => {
+          const revision = index + 2;
+          return isRemoved ? { key: `servers/${id}`, revision } : buildRecord(id, revision);
+        });
+        const full = new Replica();
+        full.applyChanges({ records, revision: records.length + 1, isWhole: false }, 0);
+        const partial = new Replica();
+        const known = records.slice(0, cut);
+        partial.applyChanges({ records: known, revision: known.length + 1, isWhole: false }, 0);
+        partial.applyChanges(full.listChangesSince(partial.revision), 0);
+        expect(listIds(partial)).to.deep.equal(listIds(full));
+        expect(partial.revision).to.equal(full.revision);
+      }),
+    );
+  });
+
+  it('gives a whole copy to one that is older than the removals it remembers', () => {
+    const replica = new Replica({ tombstoneMs: 100 });
+    replica.applyChanges({ records: [buildRecord('a', 2)], revision: 2, isWhole: true }, 0);
+    replica.applyChanges(
+      { records: [{ key: 'servers/a', revision: 3 }], revision: 3, isWhole: false },
+      0,
+    );
+    replica.runTick(200);
+    const changes = replica.listChangesSince(2);
+    expect(changes.isWhole).to.equal(true);
+    const old = new Replica();
+    old.applyChanges({ records: [buildRecord('a', 2)], revision: 2, isWhole: true }, 0);
+    old.applyChanges(changes, 0);
+    expect(listIds(old)).to.deep.equal([]);
+  });
+});
--- /dev/null
+++ b/packages/core/src/placement/choose-upstream.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai';
+
+import { createRandom } from '../runtime/index.js';
+import { chooseUpstream } from './index.js';
+import type { PlacementCandidate, PlacementRequest } from './index.js';
+
+function buildCandidate(id: string, changes: Partial<PlacementCandidate> = {}): PlacementCandidate {
+  return {
+    id,
+    dataCentre: 'z1',
+    slots: 3,
+    inFlight: 0,
+    isSuspect: false,
+    isTestDue: false,
+    warmUpMs: 0,
+    ...changes,
+  };
+}
+
+const UNSAFE: PlacementRequest = {
+  isRepeatable: false,
+  canTryAgain: true,
+  mayTest: true,
+  dataCentre: 'z1',
+  bodyBytes: 0,
+};
+const SAFE: PlacementRequest = { ...UNSAFE, isRepeatable: true };
+
+function choose(
+  request: PlacementRequest,
+  candidates: readonly PlacementCandidate[],
+): string | undefined {
+  return chooseUpstream(request, candidates, createRandom(3))?.upstreamId;
+}
+
+describe('placing a request', () => {
+  it('never overruns slots', () => {
+    expect(choose(SAFE, [buildCandidate('a', { inFlight: 3 })])).to.equal(undefined);
+    expect(choose(SAFE, [])).to.equal(undefined);
+  });
+
+  it('waits rather than send to a suspect what may run only once', () => {
+    const full = buildCandidate('full', { inFlight: 3 });
+    const suspect = buildCandidate('suspect', { isSuspect: true, isTestDue: true });
+    expect(choose(UNSAFE, [full, suspect])).to.equal(undefined);
+    expect(choose(SAFE, [full, suspect])).to.equal('suspect');
+  });
+
+  it('uses suspects for all where nothing else is left', () => {
+    const suspect = buildCandidate('suspect', { isSuspect: true });
+    expect(choose(UNSAFE, [suspect])).to.equal('suspect');
+  });
+
+  it('tests a suspect with a request that can be tried again, one at a time', () => {
+    const trusted = buildCandidate('trusted');
+    const due = buildCandidate('due', { isSuspect: true, isTestDue: true });
+    expect(choose(SAFE, [trusted, due])).to.equal('due');
+    expect(choose(UNSAFE, [trusted, due])).to.equal('trusted');
+    expect(choose({ ...SAFE, canTryAgain: false }, [trusted, due])).to.equal('trusted');
+    expect(choose({ ...SAFE, mayTest: false }, [trusted, due])).to.equal('trusted');
+    expect(choose(SAFE, [trusted, { ...due, inFlight: 1 }])).to.equal('trusted');
+  });
+
+  it('stays near with a large body even where the far are emptier', () => {
+    const near = buildCandidate('near', { inFlight: 2 });
+    const far = buildCandidate('far', { dataCentre: 'z2' });
+    expect(choose({ ...UNSAFE, bodyBytes: 60_000 }, [near, far])).to.equal('near');
+    expect(choose(UNSAFE, [near, far])).to.equal('far');
+  });
+
+  it('takes the emptier of two alike, and one that is warm before one that is not', () => {
+    const busy = buildCandidate('busy', { inFlight: 2 });
+    expect(choose(UNSAFE, [busy, buildCandidate('empty')])).to.equal('empty');
+    const cold = buildCandidate('cold', { warmUpMs: 2000 });
+    expect(choose(UNSAFE, [buildCandidate('warm', { inFlight: 1 }), cold])).to.equal('warm');
+  });
+});
--- /dev/null
+++ b/packages/core/src/retries/window-allowance.test.ts
@@ -0,0 +1,72 @@
+import { expect } from 'chai';
+
+import { createRandom } from '../runtime/index.js';
+import { WindowAllowance } from './index.js';
+
+const WINDOW_MS = 10_000;
+const SLACK = 56;
+const RATIO = 0.2;
+
+type Event = { readonly at: number; readonly isRepeat: boolean };
+
+/** Replays daemons that want to repeat everything, some of which start anew at times. */
+function replayShedding(daemonCount: number, seed: number): readonly Event[] {
+  const random = createRandom(seed);
+  let now = 0;
+  const clock = { now: () => now };
+  const settings = { windowMs: WINDOW_MS, ratio: RATIO, fleetSlack: SLACK, daemonCount: 64 };
+  const daemons = Array.from({ length: daemonCount }, () => new WindowAllowance(settings, clock));
+  const events: Event[] = [];
+  Array.from({ length: 12_000 }, (_, index) => index).forEach((index) => {
+    now = index * 5;
+    const at = Math.floor(random.next() * daemonCount);
+    if (random.next() < 0.001) daemons[at] = new WindowAllowance(settings, clock);
+    const daemon = daemons[at];
+    daemon?.recordRequest();
+    events.push({ at: now, isRepeat: false });
+    if (daemon?.takeRepeat()) events.push({ at: now, isRepeat: true });
+  });
+  return events;
+}
+
+/** The most by which any window of repeats exceeds what the users allow for it. */
+function computeExcess(events: readonly Event[]): number {
+  const ends = Array.from({ length: 100 }, (_, index) => index * 600);
+  const countIn = (from: number, isRepeat: boolean): number =>
+    events.filter((row) => row.isRepeat === isRepeat && row.at > from && row.at <= from + WINDOW_MS)
+      .length;
+  const excesses = ends.map((end) => {
+    const from = end - WINDOW_MS;
+    const requests = Math.max(
+      countIn(from, false),
+      countIn(from - WINDOW_MS / 2, false),
+      countIn(from - WINDOW_MS, false),
+    );
+    return countIn(from, true) - (requests * RATIO + SLACK);
+  });
+  return Math.max(...excesses);
+}
+
+describe('the allowance for repeats', () => {
+  it('keeps the sum of all daemons within the bound when everything is shed', () => {
+    const excesses = [1, 3, 36].map((count) => computeExcess(replayShedding(count, 4)));
+    expect(Math.max(...excesses)).to.be.at.most(0);
+  });
+
+  it('grows with the requests taken in and comes back as the window slides', () => {
+    let now = 0;
+    const allowance = new WindowAllowance(
+      { windowMs: 1000, ratio: 0.5, fleetSlack: 0, daemonCount: 1 },
+      { now: () => now },
+    );
+    expect(allowance.takeRepeat()).to.equal(false);
+    Array.from({ length: 10 }, () => allowance.recordRequest());
+    const taken = Array.from({ length: 10 }, () => allowance.takeRepeat()).filter(Boolean);
+    expect(taken).to.have.length(4);
+    expect(allowance.getShareLeft()).to.be.lessThan(0.2);
+    now = 1200;
+    expect(allowance.takeRepeat()).to.equal(false);
+    Array.from({ length: 10 }, () => allowance.recordRequest());
+    expect(allowance.takeRepeat()).to.equal(true);
+  });
+});
