Keep a bad link apart from a bad upstream, use suspects by age, refuse the hopeless

Change: what was never sent counts here only; a suspect without a failure for 1.5 s may take any request where the trusted have no room; safe requests use suspects only while the allowance bears a repeat; those who wait are judged again each 100 ms; waiting ends half an attempt before the end.

--- a/packages/core/src/placement/choose-upstream.test.ts
+++ b/packages/core/src/placement/choose-upstream.test.ts
@@ -12,6 +12,7 @@
     inFlight: 0,
     isSuspect: false,
     isTestDue: false,
+    sinceFailureMs: 0,
     warmUpMs: 0,
     ...changes,
   };
@@ -46,6 +47,22 @@
     expect(choose(SAFE, [full, suspect])).to.equal('suspect');
   });
 
+  it('takes a suspect that has not failed for long before it lets a request wait', () => {
+    const full = buildCandidate('full', { inFlight: 3 });
+    const recovered = buildCandidate('recovered', { isSuspect: true, sinceFailureMs: 1500 });
+    expect(choose(UNSAFE, [full, recovered])).to.equal('recovered');
+    expect(choose(UNSAFE, [buildCandidate('trusted', { inFlight: 2 }), recovered])).to.equal(
+      'trusted',
+    );
+  });
+
+  it('lets a safe request wait where a failure could not be repeated', () => {
+    const full = buildCandidate('full', { inFlight: 3 });
+    const suspect = buildCandidate('suspect', { isSuspect: true });
+    expect(choose(SAFE, [full, suspect])).to.equal('suspect');
+    expect(choose({ ...SAFE, mayTest: false }, [full, suspect])).to.equal(undefined);
+  });
+
   it('uses suspects for all where nothing else is left', () => {
     const suspect = buildCandidate('suspect', { isSuspect: true });
     expect(choose(UNSAFE, [suspect])).to.equal('suspect');
--- a/packages/core/src/placement/choose-upstream.ts
+++ b/packages/core/src/placement/choose-upstream.ts
@@ -3,8 +3,9 @@
  *
  * Load pattern: services near the limit of their slots, shared by several dispatchers, with some
  * upstreams failing grayly at any time. Requests that may run only once go to trusted upstreams
- * alone, as long as there are any; safe requests test the suspects, one at a time, and use their
- * room where the trusted have none. Among equals the one with the most free room wins, an upstream
+ * alone, as long as there are any, and to suspects that have not failed for a while where these have
+ * no room; safe requests test the suspects, one at a time, and use their room where the trusted have
+ * none and a failure could still be repeated. Among equals the one with the most free room wins, an upstream
  * of the own data centre before one that is farther.
  */
 import type { RandomSource } from '../runtime/index.js';
@@ -18,6 +19,8 @@
   readonly isSuspect: boolean;
   /** Whether it is a suspect that should be tested now. */
   readonly isTestDue: boolean;
+  /** Milliseconds since its last failure; without meaning for one that is trusted. */
+  readonly sinceFailureMs: number;
   /** Milliseconds that it stays slow after its start. */
   readonly warmUpMs: number;
 };
@@ -36,7 +39,7 @@
 
 export type PlacementChoice = {
   readonly upstreamId: string;
-  readonly reason: 'trusted' | 'test' | 'suspect-with-room' | 'all-suspect';
+  readonly reason: 'trusted' | 'test' | 'likely-recovered' | 'suspect-with-room' | 'all-suspect';
 };
 
 /** In shares of an upstream's slots: how much fuller a near upstream may be than a far one. */
@@ -45,6 +48,8 @@
 const FAR_BODY_BYTES = 40_000;
 /** How much fuller a warm upstream may be than one that has just started. */
 const COLD_PENALTY = 0.5;
+/** A suspect without a failure for so long has more likely recovered than not. */
+const LIKELY_RECOVERED_MS = 1500;
 /** Breaks ties by chance, so that dispatchers with the same view do not choose alike. */
 const TIE_SPREAD = 0.05;
 
@@ -91,8 +96,11 @@
   const trusted = open.filter(({ isSuspect }) => !isSuspect);
   const best = chooseCheapest(trusted, request, random);
   if (best !== undefined) return { upstreamId: best, reason: 'trusted' };
+  const recovered = open.filter((one) => one.sinceFailureMs >= LIKELY_RECOVERED_MS);
+  const likely = chooseCheapest(recovered, request, random);
+  if (likely !== undefined) return { upstreamId: likely, reason: 'likely-recovered' };
   const allSuspect = candidates.every(({ isSuspect }) => isSuspect);
-  if (!allSuspect && !mayFail) return undefined;
+  if (!allSuspect && !mayTest) return undefined;
   const last = chooseCheapest(open, request, random);
   if (last === undefined) return undefined;
   return { upstreamId: last, reason: allSuspect ? 'all-suspect' : 'suspect-with-room' };
--- a/packages/core/src/trust/upstream-trust.ts
+++ b/packages/core/src/trust/upstream-trust.ts
@@ -19,10 +19,10 @@
   readonly confirmIntervalMs: number;
 };
 
-/** From trials on the quiet days: 3 answers beat 1 and 2; longer intervals delay the return. */
+/** From trials on the quiet days: 3 answers beat 1 and 2; gray spells last 3 to 5 seconds. */
 export const DEFAULT_TRUST_SETTINGS: TrustSettings = {
   goodAnswersToReturn: 3,
-  maxSuspicionMs: 8000,
+  maxSuspicionMs: 4500,
   testIntervalMs: 400,
   confirmIntervalMs: 60,
 };
--- a/packages/core/src/waiting/judge-wait.ts
+++ b/packages/core/src/waiting/judge-wait.ts
@@ -43,7 +43,10 @@
   return Math.max(MIN_RETRY_MS, Math.min(expectedWaitMs * spread, latest));
 }
 
-/** Judges whether a request with so much time left should join the line. */
+/**
+ * Judges whether a request with so much time left should join the line, or stay in it: `waiting`
+ * counts those ahead of it.
+ */
 export function judgeWait(state: WaitState, timeLeftMs: number, random: RandomSource): WaitVerdict {
   const expected = computeExpectedWaitMs(state);
   if (expected + state.meanAttemptMs <= timeLeftMs) return { kind: 'wait' };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,9 @@
 /** Some callers keep a directory answer three times as long as they are told. */
 const HOLD_FACTOR = 3;
 /** A planned stop ends so long before the process would be killed. */
-const STOP_MARGIN_MS = 700;
+const STOP_MARGIN_MS = 900;
+/** Peers that do not answer must not hold a stop up. */
+const FAREWELL_MS = 150;
 /** Without word of a dispatcher for so long, a daemon reads the store itself. */
 const FOLLOW_SILENCE_MS = 1200;
 const FOLLOW_SILENCE_SPREAD_MS = 600;
@@ -131,10 +133,10 @@
     this.#log.info('leaving', { openRequests: this.#callers.openRequests });
     const announced = this.#fleet.announceState('leaving');
     this.#waiters.releaseAll();
-    await announced;
+    await Promise.race([announced, wait(FAREWELL_MS)]);
     await this.#waitUntilIdle(startedAt);
     this.#phase = 'stopped';
-    await this.#fleet.announceState('left');
+    await Promise.race([this.#fleet.announceState('left'), wait(FAREWELL_MS)]);
     await this.#close();
     this.#log.info('stopped', { afterMs: Math.round(this.#clock.now() - startedAt) });
   }
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -41,7 +41,8 @@
 /** A safe request is sent once more after so many times the usual. */
 const HEDGE_FACTOR = 2.5;
 const MIN_HEDGE_MS = 120;
-/** Waiting ends this long before the request's end, as no upstream answers faster. */
+/** Waiting ends so long before the request's end, in shares of the usual time of an attempt. */
+const SHORTEST_ATTEMPT_SHARE = 0.5;
 const MIN_ATTEMPT_MS = 20;
 /** Statuses that upstreams give without having run the request, where they say so. */
 const SHED_STATUSES: readonly number[] = [429, 503];
@@ -146,13 +147,19 @@
       arrivedAt,
       priority: route.priority,
       targetAt: arrivedAt + route.targetLatencyMs,
-      giveUpAt: endAt - MIN_ATTEMPT_MS,
+      giveUpAt: endAt - this.#computeShortestAttemptMs(),
       tryPlace: () => this.#tryPlace(),
       onExpired: () => this.#refuse('noCapacity'),
+      onHopeless: (retryAfterMs) => this.#refuse('noCapacity', retryAfterMs),
     });
     this.#record({ step: 'waiting', ahead: this.#desk.waitingCount - 1 });
   }
 
+  #computeShortestAttemptMs(): number {
+    const usual = this.#ports.times.getMeanMs(this.#request.route.id);
+    return Math.max(MIN_ATTEMPT_MS, usual * SHORTEST_ATTEMPT_SHARE);
+  }
+
   #launch({ upstreamId, reason }: PlacementChoice, isHedge: boolean): void {
     const state = this.#desk.find(upstreamId);
     if (!state) return;
@@ -278,12 +285,13 @@
     elapsedMs: number,
   ): void {
     this.#record({ step: end.kind, upstream: upstreamId, reason: end.reason, elapsedMs });
-    this.#desk.recordOutcome(upstreamId, false);
     if (end.kind === 'unsent') {
+      this.#desk.recordUnreachable(upstreamId);
       this.#sentCount -= 1;
       this.#tryAgainOrFail(true, true);
       return;
     }
+    this.#desk.recordOutcome(upstreamId, false);
     this.#unknownError ??= createRefusal(end.kind === 'lost' ? 'upstreamLost' : 'answerInvalid');
     this.#tryAgainOrFail(this.#isRepeatable);
   }
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -40,6 +40,8 @@
   /** Tries to place the request; returns whether it left the line. */
   readonly tryPlace: () => boolean;
   readonly onExpired: () => void;
+  /** Called when it is certain that the turn would come too late. */
+  readonly onHopeless: (retryAfterMs: number) => void;
 };
 
 export type PlacementNeeds = {
@@ -55,6 +57,8 @@
 const MIN_SHARE_FOR_HEDGES = 0.3;
 /** While requests wait, room is looked for so often, in milliseconds. */
 const LINE_POLL_MS = 10;
+/** How often it is asked whether those who wait can still be served, in milliseconds. */
+const JUDGE_INTERVAL_MS = 100;
 
 export class ServiceDesk {
   readonly name: string;
@@ -69,6 +73,8 @@
 
   #meanAttemptMs = 150;
 
+  #judgedAt = 0;
+
   #poll: NodeJS.Timeout | undefined;
 
   constructor(name: string, ports: DeskPorts) {
@@ -125,7 +131,8 @@
     return this.#listUsable(excluded).length > 0;
   }
 
-  judgeWait(timeLeftMs: number): WaitVerdict {
+  /** Judges whether a request should wait behind so many others. */
+  judgeWait(timeLeftMs: number, ahead = this.#line.size): WaitVerdict {
     const now = this.#ports.clock.now();
     const states = this.#listUsable(new Set());
     const trusted = states.filter(({ record }) => !this.#ports.trust.isSuspect(record.id, now));
@@ -134,7 +141,7 @@
     const share = this.#computeOwnShare(counted);
     return judgeWait(
       {
-        waiting: this.#line.size,
+        waiting: ahead,
         slots: slots * share,
         meanAttemptMs: this.#meanAttemptMs,
       },
@@ -172,6 +179,12 @@
     this.#upstreams.forEach(({ pool }) => pool.runTick());
   }
 
+  /** Notes that an upstream cannot be reached from here, which says nothing to other daemons. */
+  recordUnreachable(upstreamId: string): void {
+    const { trust, clock } = this.#ports;
+    trust.record({ upstreamId, isGood: false, at: clock.now() });
+  }
+
   /** Notes what an attempt has shown, for this dispatcher and its peers. */
   recordOutcome(upstreamId: string, isGood: boolean): void {
     const { trust, clock, onOutcome } = this.#ports;
@@ -187,12 +200,26 @@
   #startPolling(): void {
     this.#poll ??= setTimeout(() => {
       this.#poll = undefined;
-      this.#line.takeExpired(this.#ports.clock.now()).forEach((waiter) => waiter.onExpired());
+      const now = this.#ports.clock.now();
+      this.#line.takeExpired(now).forEach((waiter) => waiter.onExpired());
       this.serveLine();
+      this.#refuseHopeless(now);
       if (this.#line.size > 0) this.#startPolling();
     }, LINE_POLL_MS);
   }
 
+  /** Sends away at once whose turn will come too late, as room has shrunk since they joined. */
+  #refuseHopeless(now: number): void {
+    if (now - this.#judgedAt < JUDGE_INTERVAL_MS) return;
+    this.#judgedAt = now;
+    this.#line.list(now).forEach((waiter, ahead) => {
+      const verdict = this.judgeWait(waiter.giveUpAt - now, ahead);
+      if (verdict.kind === 'wait') return;
+      this.#line.remove(waiter.id);
+      waiter.onHopeless(verdict.retryAfterMs);
+    });
+  }
+
   #drop(id: string, state: UpstreamState): void {
     state.pool.close();
     this.#upstreams.delete(id);
@@ -232,6 +259,7 @@
       inFlight: this.#countInFlight(state),
       isSuspect,
       isTestDue: isSuspect && trust.isTestDue(id, now),
+      sinceFailureMs: now - trust.getLastFailureAt(id),
       warmUpMs: Math.max(0, state.warmUntil - now),
     };
   }
