--- a/packages/stand-ins/src/platform/instance-stand-in.ts
+++ b/packages/stand-ins/src/platform/instance-stand-in.ts
@@ -143,7 +143,7 @@
     response: ServerResponse,
     fault: InstanceFault | undefined,
   ): void {
-    const {socket} = message;
+    const { socket } = message;
     if (fault === 'hang') return;
     if (fault === 'reset') {
       socket.resetAndDestroy();
--- a/packages/stand-ins/src/platform/store-stand-in.ts
+++ b/packages/stand-ins/src/platform/store-stand-in.ts
@@ -4,7 +4,7 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 
 /** `down` resets calls, `busy` answers 503, `silent` never answers. */
 export type StoreMode = 'up' | 'down' | 'busy' | 'silent';
@@ -124,7 +124,7 @@
     this.#reads += 1;
     if (this.#mode === 'silent') return;
     if (this.#mode === 'down') {
-      (message.socket).resetAndDestroy();
+      message.socket.resetAndDestroy();
       return;
     }
     if (this.#mode === 'busy') {
