Serve on when the reader of the log has gone

Cause: a daemon whose standard output is a pipe ended with an unhandled EPIPE once its reader closed; seen when a start was measured through head. Change: the writer drops its lines from then on.

--- a/packages/daemon/src/runtime/line-writer.ts
+++ b/packages/daemon/src/runtime/line-writer.ts
@@ -13,11 +13,15 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #hasReader = true;
+
   constructor() {
     process.on('exit', () => this.#writeRest());
+    process.stdout.on('error', () => this.#handleLostReader());
   }
 
   write(line: string): void {
+    if (!this.#hasReader) return;
     this.#lines.push(line);
     if (this.#lines.length >= MAX_BUFFERED_LINES) {
       this.#flush();
@@ -26,6 +30,12 @@
     this.#timer ??= setTimeout(() => this.#flush(), FLUSH_MS);
   }
 
+  /** Whoever read the log has gone, and with it the place to say so; requests are served on. */
+  #handleLostReader(): void {
+    this.#hasReader = false;
+    this.#takeText();
+  }
+
   #takeText(): string {
     clearTimeout(this.#timer);
     this.#timer = undefined;
