Test the callers' listener, the store's reader and a request under way

Requests that could be read in two ways, slow and large ones, callers that leave, connections that are kept and closed; outages, forgotten history and lapsed entries of the store; repeats only on proof, within attempts and allowance, hedges, timeouts and waiting, in simulated time.

--- /dev/null
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -0,0 +1,194 @@
+import { expect } from 'chai';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
+
+import { RouteTable } from '@baobabline/core';
+import type { RoutingConfiguration } from '@baobabline/core';
+
+import type { HttpDialect } from '../dialect/index.js';
+import type { RequestEnd, RoutedRequest } from '../requests/index.js';
+import { CallerServer } from './caller-server.js';
+
+const ADDRESS = '127.0.0.1';
+const SETTLE_MS = 60;
+
+const CONFIGURATION: RoutingConfiguration = {
+  version: 1,
+  limits: { maxHeaderBytes: 2000, maxBodyBytes: 1000, headerTimeoutMs: 400, idleTimeoutMs: 3000 },
+  routes: [
+    {
+      id: 'r',
+      host: 'h',
+      prefix: '/a/',
+      kind: 'unsafe',
+      parts: [{ service: 's', weight: 1 }],
+      timeoutMs: 1000,
+      targetLatencyMs: 500,
+      maxAttempts: 1,
+      priority: 0,
+    },
+  ],
+};
+
+const dialect: HttpDialect = {
+  ownHeaders: new Set(['x-id']),
+  readCallerHead: (headers) => ({
+    requestId: headers['x-id'] as string | undefined,
+    timeAllowedMs: 1000,
+  }),
+  readAnswerHead: () => ({
+    requestId: undefined,
+    isNotRun: false,
+    isSigned: true,
+    load: undefined,
+    keepAliveMs: undefined,
+  }),
+  buildUpstreamHeaders: () => [],
+};
+
+function buildAnswer(text: string): RequestEnd {
+  const body = [Buffer.from(text)];
+  return {
+    kind: 'answered',
+    upstreamId: 'u',
+    answer: {
+      status: 200,
+      statusText: 'OK',
+      headers: ['X-Sig', 's', 'Connection', 'X-Hop', 'X-Hop', '1', 'Content-Length', '999'],
+      body,
+      bodyBytes: text.length,
+      head: dialect.readAnswerHead(200, {}),
+    },
+  };
+}
+
+describe("the callers' listener", () => {
+  let server: CallerServer;
+  let port = 0;
+  let served: RoutedRequest[] = [];
+  let cancelled = 0;
+  let answers = true;
+
+  beforeEach(async () => {
+    served = [];
+    cancelled = 0;
+    answers = true;
+    const routes = new RouteTable(CONFIGURATION);
+    server = new CallerServer({
+      clock: { now: () => performance.now() },
+      dialect,
+      maxHeldBytes: 10_000,
+      getRoutes: () => routes,
+      chooseService: () => 's',
+      serve: (request, onEnd) => {
+        served = [...served, request];
+        if (answers) setImmediate(() => onEnd(buildAnswer(request.id)));
+        return () => {
+          cancelled += 1;
+        };
+      },
+      onRefused: () => undefined,
+    });
+    server.applyLimits(CONFIGURATION.limits);
+    port = await server.listen(ADDRESS, 0);
+  });
+
+  afterEach(async () => server.close());
+
+  function connectRaw(): { readonly socket: Socket; readonly read: () => string } {
+    const socket = connect(port, ADDRESS);
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += String(chunk);
+    });
+    socket.on('error', () => undefined);
+    return { socket, read: () => received };
+  }
+
+  async function sendRaw(text: string): Promise<string> {
+    const { socket, read } = connectRaw();
+    socket.write(text);
+    await wait(SETTLE_MS);
+    socket.destroy();
+    return read();
+  }
+
+  it('takes bodies with a length and in chunks, byte for byte', async () => {
+    await sendRaw('POST /a/x?q=1 HTTP/1.1\r\nHost: h\r\nx-id: 1\r\nContent-Length: 5\r\n\r\nhello');
+    await sendRaw(
+      'POST /a/y HTTP/1.1\r\nHost: h\r\nx-id: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n',
+    );
+    const bodies = served.map(({ body }) => Buffer.concat([...body]).toString());
+    expect(bodies).to.deep.equal(['hello', 'hello']);
+    expect(served[0]?.target).to.equal('/a/x?q=1');
+  });
+
+  it('passes on no header that concerns one connection, in either direction', async () => {
+    const reply = await sendRaw(
+      'GET /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\nX-Own: 1\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\nTE: x\r\n\r\n',
+    );
+    expect(served[0]?.headers).to.deep.equal(['Host', 'h', 'X-Own', '1']);
+    expect(reply).to.include('X-Sig: s').and.to.include('Content-Length: 1\r\n');
+    expect(reply).not.to.include('X-Hop');
+  });
+
+  const ambiguous: readonly (readonly [string, string])[] = [
+    ['two lengths', 'Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello'],
+    ['a length beside chunks', 'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'],
+    ['a length that is no number', 'Content-Length: 5x\r\n\r\nhello'],
+    ['an unknown coding', 'Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n'],
+    ['a chunk without a size', 'Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n'],
+    ['two hosts', 'Host: other\r\n\r\n'],
+    ['a folded header', 'X-A: 1\r\n 2\r\n\r\n'],
+    ['a space before the colon', 'X-A : 1\r\n\r\n'],
+    ['a bare line feed between headers', 'X-A: 1\nX-B: 2\r\n\r\n'],
+  ];
+
+  ambiguous.forEach(([name, rest]) => {
+    it(`refuses ${name}, and serves nothing of it`, async () => {
+      const reply = await sendRaw(`POST /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\n${rest}`);
+      expect(served).to.have.length(0);
+      expect(reply).to.match(/^HTTP\/1\.1 4\d\d /);
+    });
+  });
+
+  it('refuses headers that come too slowly with 408', async () => {
+    const { socket, read } = connectRaw();
+    socket.write('GET /a/x HTTP/1.1\r\nHost: h\r\n');
+    await wait(1500);
+    expect(read()).to.match(/^HTTP\/1\.1 408 /);
+    socket.destroy();
+  });
+
+  it('refuses a body that grows over the limit in chunks', async () => {
+    const chunk = `1f4\r\n${'x'.repeat(500)}\r\n`;
+    const reply = await sendRaw(
+      `POST /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.repeat(3)}0\r\n\r\n`,
+    );
+    expect(reply).to.match(/^HTTP\/1\.1 413 /);
+    expect(served).to.have.length(0);
+  });
+
+  it('gives a request up when its caller leaves, and none that was answered', async () => {
+    await sendRaw('GET /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\n\r\n');
+    expect(cancelled).to.equal(0);
+    answers = false;
+    await sendRaw('GET /a/x HTTP/1.1\r\nHost: h\r\nx-id: 2\r\n\r\n');
+    await wait(SETTLE_MS);
+    expect(cancelled).to.equal(1);
+  });
+
+  it('keeps a connection for many requests, and ends it with the answer when it leaves', async () => {
+    const { socket, read } = connectRaw();
+    socket.write('GET /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\n\r\n');
+    await wait(SETTLE_MS);
+    expect(read()).to.include('Connection: keep-alive').and.to.include('Keep-Alive: timeout=');
+    server.startLeaving();
+    socket.write('GET /a/x HTTP/1.1\r\nHost: h\r\nx-id: 2\r\n\r\n');
+    await wait(SETTLE_MS);
+    expect(read()).to.include('Connection: close');
+    expect(served).to.have.length(2);
+    expect(socket.readableEnded).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/knowledge/store-reader.test.ts
@@ -0,0 +1,160 @@
+import { expect } from 'chai';
+import { setTimeout as wait } from 'node:timers/promises';
+
+import { createRandom, Replica } from '@baobabline/core';
+import type { Changes, KnownRecord } from '@baobabline/core';
+
+import type { RecordSource } from '../dialect/index.js';
+import { StoreReader } from './store-reader.js';
+
+const POLL_MS = 5;
+
+function buildRecord(id: string, revision: number): KnownRecord {
+  const upstream = {
+    id,
+    service: 's',
+    address: '10.0.0.1',
+    port: 80,
+    dataCentre: 'z',
+    slots: 1,
+    state: 'ready' as const,
+    warmUpMs: 0,
+    bornAt: 1,
+  };
+  return { key: `servers/${id}`, revision, upstream };
+}
+
+/** A store whose state the test sets; its watches end as soon as something changes. */
+class FakeSource implements RecordSource {
+  records: readonly KnownRecord[] = [];
+
+  revision = 1;
+
+  isAway = false;
+
+  hasForgotten = false;
+
+  reads = 0;
+
+  async readAll(): Promise<Changes> {
+    this.#check();
+    return { records: this.records, revision: this.revision, isWhole: true };
+  }
+
+  async watch(after: number): Promise<Changes | undefined> {
+    this.#check();
+    if (this.hasForgotten) {
+      this.hasForgotten = false;
+      return undefined;
+    }
+    await wait(POLL_MS);
+    const records = this.records.filter(({ revision }) => revision > after);
+    return { records, revision: this.revision, isWhole: false };
+  }
+
+  close(): void {
+    this.isAway = true;
+  }
+
+  #check(): void {
+    this.reads += 1;
+    if (this.isAway) throw new Error('away');
+  }
+}
+
+describe('reading the store', () => {
+  let source: FakeSource;
+  let replica: Replica;
+  let reader: StoreReader;
+  let isReader = true;
+  let events: string[] = [];
+  /** Set by the tests: only they let the time of grace pass. */
+  let now = 0;
+
+  function listIds(): readonly string[] {
+    return replica.listUpstreams().map(({ id }) => id);
+  }
+
+  async function waitFor(holds: () => boolean, left = 1000): Promise<void> {
+    if (holds()) return;
+    if (left === 0) throw new Error('waited in vain');
+    await wait(POLL_MS);
+    await waitFor(holds, left - 1);
+  }
+
+  beforeEach(() => {
+    source = new FakeSource();
+    source.records = [buildRecord('a', 2), buildRecord('b', 3)];
+    source.revision = 3;
+    replica = new Replica();
+    isReader = true;
+    events = [];
+    now = 0;
+    const record = (event: string): void => {
+      events = [...events, event];
+    };
+    reader = new StoreReader({
+      clock: { now: () => now },
+      random: createRandom(1),
+      log: {
+        error: record,
+        warn: record,
+        info: record,
+        shouldLogDecision: () => false,
+        decision: record,
+      },
+      replica,
+      source,
+      shouldRead: () => isReader,
+      onChanged: () => undefined,
+    });
+    reader.start();
+  });
+
+  afterEach(() => reader.stop());
+
+  it('reads all once and follows changes from there', async () => {
+    await waitFor(() => listIds().length === 2);
+    source.records = [{ key: 'servers/a', revision: 4 }, buildRecord('b', 3)];
+    source.revision = 4;
+    await waitFor(() => listIds().length === 1);
+    expect(listIds()).to.deep.equal(['b']);
+  });
+
+  it('reads all anew when the history is gone, and holds what is missing to be gone', async () => {
+    await waitFor(() => listIds().length === 2);
+    source.records = [buildRecord('b', 3)];
+    source.revision = 9;
+    source.hasForgotten = true;
+    await waitFor(() => listIds().length === 1);
+    expect(events).to.include('store-history-lost');
+  });
+
+  it('keeps entries that lapsed while the store was away until their time to come back is over', async () => {
+    await waitFor(() => listIds().length === 2);
+    source.isAway = true;
+    await waitFor(() => events.includes('store-away'));
+    source.records = [buildRecord('c', 8)];
+    source.revision = 8;
+    source.isAway = false;
+    await waitFor(() => listIds().includes('c'));
+    expect([...listIds()].sort()).to.deep.equal(['a', 'b', 'c']);
+    now += 2001;
+    await waitFor(() => listIds().length === 1);
+    expect(listIds()).to.deep.equal(['c']);
+    expect(events).to.include('store-back');
+  });
+
+  it('asks nothing of the store while it is no reader', async () => {
+    await waitFor(() => listIds().length === 2);
+    isReader = false;
+    await wait(150);
+    const before = source.reads;
+    await wait(150);
+    expect(source.reads).to.equal(before);
+    isReader = true;
+    source.records = [buildRecord('d', 7)];
+    source.revision = 7;
+    await waitFor(() => listIds().includes('d'));
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -0,0 +1,301 @@
+import { expect } from 'chai';
+import { mock } from 'node:test';
+
+import { createRandom, UpstreamTrust } from '@baobabline/core';
+import type { RegisteredUpstream, Route } from '@baobabline/core';
+
+import type { AnswerHead, HttpDialect } from '../dialect/index.js';
+import type { EndHandler, ExchangeEnd, UpstreamPool } from '../upstreams/index.js';
+import { AttemptTimes } from './attempt-times.js';
+import { PeerLoads } from './peer-loads.js';
+import { RequestRun } from './request-run.js';
+import { ServiceDesk } from './service-desk.js';
+import type { RequestEnd, RoutedRequest } from './types.js';
+import { UpstreamState } from './upstream-state.js';
+
+const HEAD: AnswerHead = {
+  requestId: undefined,
+  isNotRun: false,
+  isSigned: true,
+  load: undefined,
+  keepAliveMs: undefined,
+};
+
+const dialect: HttpDialect = {
+  ownHeaders: new Set(),
+  readCallerHead: () => ({ requestId: undefined, timeAllowedMs: undefined }),
+  readAnswerHead: () => HEAD,
+  buildUpstreamHeaders: () => [],
+};
+
+function buildEnd(status: number, head: Partial<AnswerHead> = {}): ExchangeEnd {
+  return {
+    kind: 'answered',
+    isLeaving: false,
+    answer: {
+      status,
+      statusText: '',
+      headers: [],
+      body: [],
+      bodyBytes: 0,
+      head: { ...HEAD, ...head },
+    },
+  };
+}
+
+const SHED = buildEnd(503, { isNotRun: true, isSigned: false });
+const LOST: ExchangeEnd = { kind: 'lost', reason: 'reset' };
+const UNSENT: ExchangeEnd = { kind: 'unsent', reason: 'refused' };
+
+function buildUpstream(id: string): RegisteredUpstream {
+  return {
+    id,
+    service: 's',
+    address: '10.0.0.1',
+    port: 80,
+    dataCentre: 'z1',
+    slots: 1,
+    state: 'ready',
+    warmUpMs: 0,
+    bornAt: 1,
+  };
+}
+
+type Reaction = ExchangeEnd | 'hang';
+
+const STEP_MS = 5;
+
+describe('a request under way', () => {
+  let sent: string[] = [];
+  let aborted: string[] = [];
+  let reactions: Record<string, Reaction>;
+  let desk: ServiceDesk;
+  let ends: RequestEnd[] = [];
+  let now = 0;
+  let count = 0;
+  const clock = { now: () => now };
+
+  /** Lets simulated time pass, in small steps, with all that happens in it. */
+  async function wait(ms: number): Promise<void> {
+    if (ms <= 0) return;
+    now += STEP_MS;
+    mock.timers.tick(STEP_MS);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    await wait(ms - STEP_MS);
+  }
+
+  /** A pool that ends each exchange as the test says for its upstream. */
+  function createPool(id: string): UpstreamPool {
+    return {
+      send: (_request: unknown, _isRepeatable: boolean, onEnd: EndHandler) => {
+        sent = [...sent, id];
+        const reaction = reactions[id] ?? 'hang';
+        if (reaction !== 'hang') setImmediate(() => onEnd(reaction));
+        return {
+          abort: () => {
+            aborted = [...aborted, id];
+          },
+        };
+      },
+      close: () => undefined,
+      runTick: () => undefined,
+    } as unknown as UpstreamPool;
+  }
+
+  function createDesk(fleetSlack: number): ServiceDesk {
+    return new ServiceDesk('s', {
+      clock,
+      random: createRandom(2),
+      trust: new UpstreamTrust(),
+      peerLoads: new PeerLoads(clock),
+      dataCentre: 'z1',
+      allowance: { windowMs: 10_000, ratio: 0.2, fleetSlack, daemonCount: 1 },
+      createUpstream: (record) => new UpstreamState(record, createPool(record.id), 0),
+      onOutcome: () => undefined,
+    });
+  }
+
+  afterEach(() => mock.timers.reset());
+
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout'] });
+    sent = [];
+    aborted = [];
+    ends = [];
+    reactions = {};
+    desk = createDesk(100);
+    desk.applyRecords([buildUpstream('u1'), buildUpstream('u2'), buildUpstream('u3')]);
+  });
+
+  function start(kind: Route['kind'], changes: Partial<Route> = {}): RequestRun {
+    const arrivedAt = now;
+    count += 1;
+    const route: Route = {
+      id: 'r',
+      host: 'h',
+      prefix: '/',
+      kind,
+      parts: [{ service: 's', weight: 1 }],
+      timeoutMs: 250,
+      targetLatencyMs: 100,
+      maxAttempts: 2,
+      priority: 0,
+      ...changes,
+    };
+    const request: RoutedRequest = {
+      id: `req-${count}`,
+      route,
+      service: 's',
+      method: 'GET',
+      target: '/',
+      headers: [],
+      body: [],
+      bodyBytes: 0,
+      arrivedAt,
+      callerEndAt: arrivedAt + 2000,
+      endAt: arrivedAt + route.timeoutMs,
+    };
+    const run = new RequestRun(
+      request,
+      desk,
+      {
+        clock,
+        random: createRandom(3),
+        dialect,
+        times: new AttemptTimes(),
+        onLoadChange: () => undefined,
+        onStep: () => undefined,
+      },
+      (end) => {
+        ends = [...ends, end];
+      },
+    );
+    run.start();
+    return run;
+  }
+
+  function setAll(reaction: Reaction): void {
+    reactions = { u1: reaction, u2: reaction, u3: reaction };
+  }
+
+  function describeEnd(): string {
+    const [end] = ends;
+    if (!end) return 'open';
+    if (end.kind === 'answered') return `answered ${end.answer.status}`;
+    return `${end.error.result.status} ${end.error.result.outcome}`;
+  }
+
+  it('is sent once, whatever comes, where it may not run twice', async () => {
+    setAll(LOST);
+    start('unsafe');
+    await wait(20);
+    expect([sent.length, describeEnd()]).to.deep.equal([1, '502 unknown']);
+  });
+
+  it("passes on an upstream's own failure as it came, and repeats it only where it is safe", async () => {
+    setAll(buildEnd(500));
+    start('upload');
+    await wait(20);
+    expect([sent.length, describeEnd()]).to.deep.equal([1, 'answered 500']);
+    ends = [];
+    start('safe');
+    await wait(20);
+    expect([sent.length, describeEnd()]).to.deep.equal([3, 'answered 500']);
+  });
+
+  it('never passes on as not run what an upstream does not state so', async () => {
+    setAll(buildEnd(503));
+    start('unsafe');
+    await wait(20);
+    expect(describeEnd()).to.equal('502 unknown');
+  });
+
+  it('goes elsewhere on proof, within attempts and allowance, and then says not-run', async () => {
+    setAll(SHED);
+    start('unsafe');
+    await wait(20);
+    expect([sent.length, new Set(sent).size]).to.deep.equal([2, 2]);
+    expect(describeEnd()).to.equal('503 not-run');
+    sent = [];
+    ends = [];
+    desk = createDesk(0);
+    desk.applyRecords([buildUpstream('u1'), buildUpstream('u2')]);
+    start('unsafe');
+    await wait(20);
+    expect([sent.length, describeEnd()]).to.deep.equal([1, '503 not-run']);
+  });
+
+  it('pays nothing for an upstream that could not be reached', async () => {
+    desk = createDesk(0);
+    desk.applyRecords([buildUpstream('u1'), buildUpstream('u2'), buildUpstream('u3')]);
+    reactions = { u1: UNSENT, u2: UNSENT, u3: buildEnd(200) };
+    start('unsafe');
+    await wait(400);
+    expect(describeEnd()).to.equal('answered 200');
+  });
+
+  it('claims nothing once one attempt may have run, even if the next states that it did not', async () => {
+    const order = [LOST, SHED];
+    const next = (): Reaction => order.shift() ?? 'hang';
+    reactions = Object.defineProperties(
+      {},
+      {
+        u1: { get: next },
+        u2: { get: next },
+        u3: { get: next },
+      },
+    );
+    start('safe');
+    await wait(20);
+    expect([sent.length, describeEnd()]).to.deep.equal([2, '502 unknown']);
+  });
+
+  it("ends at its route's timeout at once, and its work is given up", async () => {
+    setAll('hang');
+    start('unsafe');
+    await wait(200);
+    expect(describeEnd()).to.equal('open');
+    await wait(100);
+    expect(describeEnd()).to.equal('504 unknown');
+    expect(aborted).to.deep.equal(sent);
+  });
+
+  it('is hedged once where it is safe and hangs', async () => {
+    setAll('hang');
+    start('safe', { timeoutMs: 1000 });
+    await wait(450);
+    expect([sent.length, new Set(sent).size]).to.deep.equal([2, 2]);
+    start('unsafe', { timeoutMs: 400 });
+    await wait(450);
+    expect(sent).to.have.length(3);
+  });
+
+  it('stops its work when its caller leaves, and reports no end', async () => {
+    setAll('hang');
+    const run = start('safe');
+    run.cancel();
+    await wait(20);
+    expect([aborted, describeEnd()]).to.deep.equal([sent, 'open']);
+    expect(desk.listUpstreams().every(({ inFlight }) => inFlight === 0)).to.equal(true);
+  });
+
+  it('waits for room, takes it as it comes, and is refused as not run when its time is over', async () => {
+    setAll('hang');
+    const holders = ['safe', 'safe', 'safe'].map(() => start('unsafe', { timeoutMs: 5000 }));
+    start('unsafe', { timeoutMs: 600 });
+    await wait(20);
+    expect(sent).to.have.length(3);
+    holders[0]?.cancel();
+    await wait(40);
+    expect(sent).to.have.length(4);
+    ends = [];
+    start('unsafe', { timeoutMs: 400 });
+    await wait(500);
+    const [end] = ends.filter(({ kind }) => kind === 'refused');
+    expect(end?.kind === 'refused' && end.error.result.outcome).to.equal('not-run');
+    expect(end?.kind === 'refused' && end.error.retryAfterSeconds).to.be.greaterThan(0);
+    holders.forEach((holder) => holder.cancel());
+  });
+});
