Remove ports and accessors that nothing uses

Left over from the first thin path: counting of opened connections, the time of the last request, the set of open sockets.

--- a/bin/verbs.js
+++ b/bin/verbs.js
@@ -95,7 +95,6 @@
   'schedule',
   'watch',
   'connect',
-  'track',
   'follow',
   'expect',
   'listen',
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -52,16 +52,12 @@
 
   readonly #server: Server;
 
-  readonly #connections = new Set<Socket>();
-
   #openRequests = 0;
 
   #heldBytes = 0;
 
   #isLeaving = false;
 
-  #lastRequestAt = 0;
-
   constructor(ports: CallerPorts) {
     this.#ports = ports;
     this.#server = createServer(
@@ -74,7 +70,6 @@
       },
       (request, response) => this.#handleRequest(request, response),
     );
-    this.#server.on('connection', (socket) => this.#trackConnection(socket));
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.#refuseMalformed(error, socket as Socket),
     );
@@ -84,15 +79,6 @@
     return this.#openRequests;
   }
 
-  get openConnections(): number {
-    return this.#connections.size;
-  }
-
-  /** When the last request began, in milliseconds of the daemon's clock. */
-  get lastRequestAt(): number {
-    return this.#lastRequestAt;
-  }
-
   async listen(address: string, port: number): Promise<number> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
@@ -122,14 +108,8 @@
     await closed;
   }
 
-  #trackConnection(socket: Socket): void {
-    this.#connections.add(socket);
-    socket.once('close', () => this.#connections.delete(socket));
-  }
-
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     this.#openRequests += 1;
-    this.#lastRequestAt = this.#ports.clock.now();
     response.once('close', () => {
       this.#openRequests -= 1;
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -197,7 +197,6 @@
       onOutcome: (upstreamId, isGood) => this.#reports.recordOutcome(upstreamId, isGood),
       onTrustChange: (upstream, change) => this.#log.info('trust', { upstream, change }),
       onLoadChange: () => this.#reports.recordLoad(),
-      onConnectionOpened: () => undefined,
     });
   }
 
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -37,7 +37,6 @@
   readonly onOutcome: (upstreamId: string, isGood: boolean) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLoadChange: () => void;
-  readonly onConnectionOpened: () => void;
 };
 
 function groupByService(
@@ -53,7 +52,7 @@
 }
 
 export class RoutedServices {
-  readonly peerLoads: PeerLoads;
+  readonly #peerLoads: PeerLoads;
 
   readonly #ports: ServicePorts;
 
@@ -74,7 +73,7 @@
 
   constructor(ports: ServicePorts) {
     this.#ports = ports;
-    this.peerLoads = new PeerLoads(ports.clock);
+    this.#peerLoads = new PeerLoads(ports.clock);
   }
 
   /** The routes in force; undefined before the first configuration. */
@@ -124,7 +123,7 @@
   /** Takes in what another dispatcher has reported. */
   applyReport({ reporterId, inFlight, outcomes }: DispatcherReport): void {
     const now = this.#ports.clock.now();
-    this.peerLoads.record(reporterId, inFlight);
+    this.#peerLoads.record(reporterId, inFlight);
     outcomes.forEach(({ upstream, isGood, ageMs }) => {
       const upstreamId = this.#reportNames.get(upstream);
       if (upstreamId !== undefined) this.#applyOutcome(upstreamId, isGood, now - ageMs);
@@ -165,7 +164,7 @@
       clock,
       random,
       trust: this.#trust,
-      peerLoads: this.peerLoads,
+      peerLoads: this.#peerLoads,
       dataCentre: settings.dataCentre,
       allowance: {
         ratio: retryRatio,
@@ -186,13 +185,12 @@
   }
 
   #createUpstream(record: RegisteredUpstream): UpstreamState {
-    const { clock, dialect, onConnectionOpened } = this.#ports;
+    const { clock, dialect } = this.#ports;
     const pool = new UpstreamPool({
       address: record.address,
       port: record.port,
       dialect,
       now: clock.now,
-      onOpened: onConnectionOpened,
     });
     return new UpstreamState(record, pool, clock.now() + record.warmUpMs);
   }
--- a/packages/gateway/src/upstreams/upstream-pool.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.ts
@@ -11,7 +11,6 @@
   readonly port: number;
   readonly dialect: HttpDialect;
   readonly now: () => number;
-  readonly onOpened: () => void;
 };
 
 /** A round trip within a region takes milliseconds; a lost packet is sent again after a second. */
@@ -94,7 +93,6 @@
       onClosed: (closed) => this.#handleClosed(closed),
     });
     this.#open.add(connection);
-    this.#ports.onOpened();
     return connection;
   }
 
