Read the store where the dispatcher is cut off from it

The store turned away all dispatchers of a data centre's followers for 9 s; they went on answering, so their followers, whom the store would have served, held themselves up to date and ran a dropped route 2.1 s after the new version. Ruled out: gossip and the replica, which took the version once it came.

Change: a daemon that is followed says whether the store answers it; followers that hear the contrary read the store themselves at once, and a dispatcher without the store follows two of them. Watches wait 700 ms, so that a store that has fallen silent is noticed after 1.2 s.

--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -25,12 +25,16 @@
   readonly log: Log;
   readonly settings: GatewaySettings;
   readonly getRevision: () => number;
+  /** Whether the store does not answer this daemon. */
+  readonly isStoreAway: () => boolean;
   readonly onChanges: (changes: Changes) => void;
 };
 
 /** A round of gossip; in calm only each third brings an exchange. */
 const GOSSIP_MS = 700;
 const ANNOUNCE_TO = 6;
+/** Daemons that a dispatcher follows besides while the store does not answer it. */
+const HELPERS_WITHOUT_STORE = 2;
 const KEEP_ALIVE_MS = 30_000;
 const CALL_TIMEOUT_MS = 700;
 /** What an answer may take beyond the time that it was asked to wait. */
@@ -161,9 +165,13 @@
 
   /** Dispatchers follow all others, so that the loss of the store's path costs them nothing. */
   #listFollowed(): readonly Member[] {
-    const { id } = this.#ports.settings;
-    const all = this.isDispatcher ? this.listOtherDispatchers() : this.#listLocalDispatchers();
-    return all.filter((member) => member.id !== id);
+    const { id, dataCentre } = this.#ports.settings;
+    if (!this.isDispatcher) return this.#listLocalDispatchers().filter((one) => one.id !== id);
+    if (!this.#ports.isStoreAway()) return this.listOtherDispatchers();
+    // All dispatchers may be cut off from the store; their followers then read it themselves.
+    const count = this.#count + HELPERS_WITHOUT_STORE;
+    const helpers = chooseDispatchers(this.#listCandidates(), dataCentre, count);
+    return [...this.listOtherDispatchers(), ...helpers.filter((one) => one.id !== id)];
   }
 
   #createFollower(): PeerFollower {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -207,6 +207,7 @@
       log: this.#log,
       settings: this.#settings,
       getRevision: () => this.#replica.revision,
+      isStoreAway: () => this.#reader.isAway,
       onChanges: (changes) => this.#applyPeerChanges(changes),
     });
   }
@@ -220,6 +221,7 @@
       source: this.#platform.source,
       shouldRead: () => this.#shouldRead(),
       onChanged: () => this.#handleKnowledge(),
+      onAway: () => this.#waiters.releaseAll(),
     });
   }
 
@@ -260,6 +262,7 @@
       async ({ revision, waitMs }) => ({
         changes: await this.#waiters.wait(revision, waitMs),
         from: membership.self,
+        isCurrent: this.#reader.isCurrent,
       }),
     );
   }
@@ -267,7 +270,7 @@
   /** Dispatchers read the store; the others only where no dispatcher brings them its changes. */
   #shouldRead(): boolean {
     if (this.#fleet.isDispatcher || this.#replica.revision === 0) return true;
-    return this.#clock.now() - this.#fleet.follower.heardAt > this.#silenceMs;
+    return this.#clock.now() - this.#fleet.follower.currentAt > this.#silenceMs;
   }
 
   #applyPeerChanges(changes: Changes): void {
--- a/packages/gateway/src/knowledge/peer-follower.ts
+++ b/packages/gateway/src/knowledge/peer-follower.ts
@@ -30,7 +30,7 @@
 
   readonly #followed = new Set<string>();
 
-  #heardAt = Number.NEGATIVE_INFINITY;
+  #currentAt = Number.NEGATIVE_INFINITY;
 
   #isStopped = false;
 
@@ -38,9 +38,12 @@
     this.#ports = ports;
   }
 
-  /** When a dispatcher last answered, in milliseconds of the daemon's clock. */
-  get heardAt(): number {
-    return this.#heardAt;
+  /**
+   * When a dispatcher that the store answers last answered, in milliseconds of the daemon's clock;
+   * minus infinity once the last one that answered is cut off from the store.
+   */
+  get currentAt(): number {
+    return this.#currentAt;
   }
 
   stop(): void {
@@ -75,8 +78,9 @@
   async #followOnce(member: Member): Promise<void> {
     const { getRevision, follow, onChanges, onHeard, onLost, clock } = this.#ports;
     try {
-      const { changes, from } = await follow(member, getRevision(), WAIT_MS);
-      this.#heardAt = clock.now();
+      const { changes, from, isCurrent } = await follow(member, getRevision(), WAIT_MS);
+      if (isCurrent) this.#currentAt = clock.now();
+      else this.#currentAt = Number.NEGATIVE_INFINITY;
       onHeard(from);
       if (changes.records.length > 0 || changes.revision > getRevision()) onChanges(changes);
     } catch (error) {
--- a/packages/gateway/src/knowledge/store-reader.ts
+++ b/packages/gateway/src/knowledge/store-reader.ts
@@ -18,10 +18,12 @@
   /** Whether this daemon should read now. */
   readonly shouldRead: () => boolean;
   readonly onChanged: () => void;
+  /** Called when the store has stopped answering. */
+  readonly onAway: () => void;
 };
 
 /** How long a watch waits; its end without a word is what shows that the connection is dead. */
-const WATCH_MS = 1500;
+const WATCH_MS = 700;
 /** Changes that follow each other closely are taken in by one call. */
 const GATHER_MS = 60;
 const RETRY_MS = 200;
@@ -43,15 +45,20 @@
 
   #isStopped = false;
 
-  #heardAt = Number.NEGATIVE_INFINITY;
+  #isReading = false;
 
   constructor(ports: ReaderPorts) {
     this.#ports = ports;
   }
 
-  /** When the store last answered this daemon, in milliseconds of its clock. */
-  get heardAt(): number {
-    return this.#heardAt;
+  /** Whether the store answers this daemon, as far as its last call shows. */
+  get isCurrent(): boolean {
+    return this.#isReading && this.#awaySince === undefined;
+  }
+
+  /** Whether the last call to the store failed. */
+  get isAway(): boolean {
+    return this.#awaySince !== undefined;
   }
 
   /** Begins to read, until stopped. */
@@ -71,6 +78,8 @@
 
   async #runOnce(): Promise<void> {
     if (!this.#ports.shouldRead()) {
+      this.#isReading = false;
+      this.#awaySince = undefined;
       this.#needsAll = this.#ports.replica.revision === 0;
       await wait(IDLE_MS);
       return;
@@ -121,9 +130,9 @@
   }
 
   #recordHeard(): void {
-    const now = this.#ports.clock.now();
-    this.#heardAt = now;
+    this.#isReading = true;
     if (this.#awaySince === undefined) return;
+    const now = this.#ports.clock.now();
     this.#ports.log.info('store-back', { awayMs: Math.round(now - this.#awaySince) });
     this.#awaySince = undefined;
   }
@@ -133,5 +142,6 @@
     if (this.#awaySince !== undefined) return;
     this.#awaySince = this.#ports.clock.now();
     this.#ports.log.warn('store-away', { reason: error.message });
+    this.#ports.onAway();
   }
 }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -21,6 +21,8 @@
     isWhole: z.boolean(),
   }),
   from: memberSchema,
+  /** Whether the store answers that member itself, so that it knows what is published now. */
+  isCurrent: z.boolean(),
 });
 
 export type FollowAnswer = Readonly<z.infer<typeof followAnswerSchema>>;
