--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,16 +1,4 @@
-export type {
-  AnswerHead,
-  CallerHead,
-  DirectoryAnswer,
-  DirectoryDialect,
-  DirectoryQuestion,
-  HeaderMap,
-  HeaderPair,
-  HttpDialect,
-  PlatformPorts,
-  RecordSource,
-  UpstreamHead,
-} from './dialect/index.js';
+export type * from './dialect/index.js';
 export { HttpCalls } from './http/index.js';
 export { Gateway } from './gateway.js';
 export type { GatewayPhase } from './gateway.js';
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -59,6 +59,10 @@
 const LINE_POLL_MS = 10;
 /** How often it is asked whether those who wait can still be served, in milliseconds. */
 const JUDGE_INTERVAL_MS = 100;
+/** Until attempts have been seen, in milliseconds. */
+const INITIAL_ATTEMPT_MS = 150;
+/** Weight of the newest attempt in the average. */
+const NEWEST_WEIGHT = 0.05;
 
 export class ServiceDesk {
   readonly name: string;
@@ -71,7 +75,7 @@
 
   readonly #line = new WaitingLine<Waiter>();
 
-  #meanAttemptMs = 150;
+  #meanAttemptMs = INITIAL_ATTEMPT_MS;
 
   #judgedAt = 0;
 
@@ -193,7 +197,7 @@
   }
 
   recordAttemptTime(elapsedMs: number): void {
-    this.#meanAttemptMs += (elapsedMs - this.#meanAttemptMs) * 0.05;
+    this.#meanAttemptMs += (elapsedMs - this.#meanAttemptMs) * NEWEST_WEIGHT;
   }
 
   /** Room may also come from peers and from pauses that end, which no event tells. */
