Read a refused body to its end before the connection goes on

Cause: both listeners answered 413 before the body was in and closed the connection. Ruled out: load alone; the new tests fail on the old code on a quiet machine each time, since the connection is closed under the rest of the body.

In the own daemon and in the gateway, by one function.

--- a/packages/daemon/src/callers/app.ts
+++ b/packages/daemon/src/callers/app.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from '../metrics/metrics.js';
 import { buildAnswerHeaders, REFUSED_HEADER } from '../requests/index.js';
 import type { Answer, Arrival, RequestPath } from '../requests/index.js';
+import { dropBody } from '../runtime/drop-body.js';
 import type { Settings } from '../settings/index.js';
 import type { OpenReplies } from './open-replies.js';
 
@@ -113,6 +114,9 @@
     : fastify(options);
   app.setErrorHandler((error: Error, request, reply) => {
     const requestId = String(request.headers['x-request-id'] ?? 'none');
+    // Fastify would close the connection before the body is in.
+    reply.removeHeader('connection');
+    dropBody(request.raw);
     sendRefusal(reply, toRefusal(error), requestId);
   });
   return app;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -14,5 +14,6 @@
 export { exchangeSchema, memberSchema, PeerClients, probeSchema } from './peers/index.js';
 export type { ExchangeAnswer, ExchangeMessage, ProbeRequest } from './peers/index.js';
 export { createProcessRandom, systemClock } from './runtime/clock.js';
+export { dropBody } from './runtime/drop-body.js';
 export { createLog } from './runtime/log.js';
 export type { Log } from './runtime/log.js';
--- a/packages/experiments/src/proofs/path.test.ts
+++ b/packages/experiments/src/proofs/path.test.ts
@@ -70,6 +70,25 @@
     });
   });
 
+  it('reads a refused body to its end, and then serves the next request of the connection', async () => {
+    const socket = connect(getDaemon().ports.callers, '127.0.0.1');
+    let received = '';
+    const faults: string[] = [];
+    socket.on('data', (data) => {
+      received += data.toString();
+    });
+    socket.on('error', (error) => faults.push(error.message));
+    const size = 17 * 1024 * 1024;
+    const head = `Host: d\r\nbaobabline-customer: ${CUSTOMER}\r\nbaobabline-kind: book\r\n`;
+    socket.write(`POST /visit-desk/x HTTP/1.1\r\n${head}Content-Length: ${size}\r\n\r\n`);
+    await waitFor(() => received.includes('HTTP/1.1 413'), 10_000, 'it is refused');
+    socket.write(Buffer.alloc(size));
+    socket.write(`GET /entries?customer=${CUSTOMER} HTTP/1.1\r\nHost: d\r\n\r\n`);
+    await waitFor(() => received.includes('HTTP/1.1 200'), 10_000, 'it is served');
+    socket.destroy();
+    expect(faults).to.deep.equal([]);
+  });
+
   it('answers bytes that are no HTTP with a numbered refusal and stays up', async () => {
     const received = await sendRaw(getDaemon().ports.callers, 'BANANA\r\n\r\n');
     expect(received).to.include('400').and.include('"code":100');
--- a/packages/gateway/src/edge/caller-server.test.ts
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -47,6 +47,13 @@
   buildUpstreamHeaders: () => [],
 };
 
+/** Polls until a condition holds; the test's own time limit ends it otherwise. */
+async function waitUntil(condition: () => boolean): Promise<void> {
+  if (condition()) return;
+  await wait(5);
+  await waitUntil(condition);
+}
+
 function buildAnswer(text: string): RequestEnd {
   const body = [Buffer.from(text)];
   return {
@@ -170,6 +177,17 @@
     expect(served).to.have.length(0);
   });
 
+  it('reads a refused body to its end, and then serves the next request of the connection', async () => {
+    const { socket, read } = connectRaw();
+    socket.write('POST /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\nContent-Length: 300000\r\n\r\n');
+    await waitUntil(() => /^HTTP\/1\.1 413 /.test(read()));
+    socket.write('x'.repeat(300_000));
+    socket.write('GET /a/y HTTP/1.1\r\nHost: h\r\nx-id: 2\r\n\r\n');
+    await waitUntil(() => read().includes('HTTP/1.1 200'));
+    expect(served.map(({ target }) => target)).to.deep.equal(['/a/y']);
+    socket.destroy();
+  });
+
   it('gives a request up when its caller leaves, and none that was answered', async () => {
     await sendRaw('GET /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\n\r\n');
     expect(cancelled).to.equal(0);
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -5,6 +5,7 @@
  */
 import { createRefusal } from '@baobabline/core';
 import type { CallerLimits, Clock, RequestError, RouteTable } from '@baobabline/core';
+import { dropBody } from '@baobabline/daemon';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -218,7 +219,7 @@
     id: string,
   ): void {
     this.#ports.onRefused(error, id, message.url ?? '');
-    if (!message.complete) response.shouldKeepAlive = false;
+    dropBody(message);
     writeRefusal(response, error, id);
   }
 
