Hold a risk of failure for each upstream, and take risks as the line grows

Ruled out: too few slots (12 of 23 upstreams were sound throughout).

Change: a hidden Markov model for each upstream (sound, failing most, failing some) in the place of counts; its risk ranks upstreams for what may run once, and a request takes more risk the larger the part of its time that waiting for a trusted upstream would take, up to 0.6. A good answer counts from when its request was sent, so that those sent before a failure do not clear it. What no answer came from counts for the dispatcher alone, which may have a bad link; answers are pooled as before. A test under way is noted.

--- a/packages/core/src/placement/choose-upstream.ts
+++ b/packages/core/src/placement/choose-upstream.ts
@@ -2,11 +2,12 @@
  * Where a request goes.
  *
  * Load pattern: services near the limit of their slots, shared by several dispatchers, with some
- * upstreams failing grayly at any time. Requests that may run only once go to trusted upstreams
- * alone, as long as there are any, and to suspects that have not failed for a while where these have
- * no room; safe requests test the suspects, some time apart, and use their room where the trusted have
- * none and a failure could still be repeated. Among equals the one with the most free room wins, an upstream
- * of the own data centre before one that is farther.
+ * upstreams failing grayly at any time. Requests that may run only once go to trusted upstreams; the
+ * longer the line for these, the more risk is taken with others that have room, since a request that
+ * is refused is as lost as one that fails. Safe requests test the suspects, some time apart, and use
+ * their room where the trusted have none and a failure could still be repeated. Among the trusted
+ * the one with the least risk and the most free room wins, an upstream of the own data centre before
+ * one that is farther.
  */
 import type { RandomSource } from '../runtime/index.js';
 
@@ -16,11 +17,11 @@
   readonly slots: number;
   /** Requests in flight there, of this dispatcher and, as far as known, of all others. */
   readonly inFlight: number;
+  /** Probability that it fails the request, from 0 to 1. */
+  readonly risk: number;
   readonly isSuspect: boolean;
   /** Whether it is a suspect that should be tested now. */
   readonly isTestDue: boolean;
-  /** Milliseconds since its last failure; without meaning for one that is trusted. */
-  readonly sinceFailureMs: number;
   /** Milliseconds that it stays slow after its start. */
   readonly warmUpMs: number;
 };
@@ -32,6 +33,8 @@
   readonly canTryAgain: boolean;
   /** Whether the allowance for repeats bears a test that fails. */
   readonly mayTest: boolean;
+  /** Highest probability of failure that is better than to go on waiting, from 0 to 1. */
+  readonly maxRisk: number;
   readonly dataCentre: string;
   /** Size of the request's body, which crosses data centres with it. */
   readonly bodyBytes: number;
@@ -39,7 +42,7 @@
 
 export type PlacementChoice = {
   readonly upstreamId: string;
-  readonly reason: 'trusted' | 'test' | 'likely-recovered' | 'suspect-with-room' | 'all-suspect';
+  readonly reason: 'trusted' | 'test' | 'risk-accepted' | 'suspect-with-room' | 'all-suspect';
 };
 
 /** In shares of an upstream's slots: how much fuller a near upstream may be than a far one. */
@@ -48,8 +51,10 @@
 const FAR_BODY_BYTES = 40_000;
 /** How much fuller a warm upstream may be than one that has just started. */
 const COLD_PENALTY = 0.5;
-/** A suspect without a failure for so long has more likely recovered than not. */
-const LIKELY_RECOVERED_MS = 1500;
+/** In shares of an upstream's slots for a risk of 1: what may run once shuns small risks already. */
+const ONCE_RISK_WEIGHT = 8;
+/** The same for a request that can be repeated, which a failure costs little time. */
+const REPEATABLE_RISK_WEIGHT = 1;
 /** Breaks ties by chance, so that dispatchers with the same view do not choose alike. */
 const TIE_SPREAD = 0.05;
 
@@ -61,7 +66,9 @@
   const isNear = candidate.dataCentre === request.dataCentre;
   const far = isNear ? 0 : FAR_PENALTY + request.bodyBytes / FAR_BODY_BYTES;
   const cold = candidate.warmUpMs > 0 ? COLD_PENALTY : 0;
-  return candidate.inFlight / candidate.slots + far + cold + random.next() * TIE_SPREAD;
+  const mayFail = request.isRepeatable && request.canTryAgain;
+  const risk = candidate.risk * (mayFail ? REPEATABLE_RISK_WEIGHT : ONCE_RISK_WEIGHT);
+  return candidate.inFlight / candidate.slots + risk + far + cold + random.next() * TIE_SPREAD;
 }
 
 function chooseCheapest(
@@ -96,9 +103,9 @@
   const trusted = open.filter(({ isSuspect }) => !isSuspect);
   const best = chooseCheapest(trusted, request, random);
   if (best !== undefined) return { upstreamId: best, reason: 'trusted' };
-  const recovered = open.filter((one) => one.sinceFailureMs >= LIKELY_RECOVERED_MS);
-  const likely = chooseCheapest(recovered, request, random);
-  if (likely !== undefined) return { upstreamId: likely, reason: 'likely-recovered' };
+  const bearable = open.filter(({ risk }) => risk <= request.maxRisk);
+  const chance = chooseCheapest(bearable, request, random);
+  if (chance !== undefined) return { upstreamId: chance, reason: 'risk-accepted' };
   const allSuspect = candidates.every(({ isSuspect }) => isSuspect);
   if (!allSuspect && !mayTest) return undefined;
   const last = chooseCheapest(open, request, random);
--- a/packages/core/src/trust/upstream-trust.ts
+++ b/packages/core/src/trust/upstream-trust.ts
@@ -1,56 +1,65 @@
 /**
  * Which upstreams are trusted with requests that nobody may send twice.
  *
- * Load pattern: upstreams that fail most of their requests for seconds while their health is
- * good. A single failure is far likelier in such a spell than outside one, so the first failure
- * makes an upstream suspect at once; since nothing but a preference changes, being wrong is cheap.
- * A suspect is tested with safe requests, which may be tried again elsewhere, and is trusted anew
- * after a few good answers in a row. Outcomes of all dispatchers are pooled in one book.
+ * Load pattern: upstreams that fail most of their requests for many seconds while their health is
+ * good, and sound ones that fail one in a hundred. A risk is kept for each upstream; above a bound
+ * it is suspect. Since nothing but a preference changes, being wrong is cheap. A suspect is tested
+ * with safe requests, which may be tried again elsewhere. What upstreams answer to any dispatcher is
+ * pooled in one book.
  */
+import { ageBelief, computeRisk, createBelief, applyOutcome } from './failure-filter.js';
+import type { FailureBelief, FailureModel } from './failure-filter.js';
 
 export type TrustSettings = {
-  /** Good answers in a row after which a suspect is trusted again. */
-  readonly goodAnswersToReturn: number;
-  /** After so long without any failure a suspect is trusted again, in milliseconds. */
-  readonly maxSuspicionMs: number;
-  /** Shortest time between two tests of a suspect by the fleet, in milliseconds. */
+  readonly model: FailureModel;
+  /** Up to this probability of failure an upstream is trusted. */
+  readonly trustedRisk: number;
+  /** Shortest time between two tests of a suspect by a dispatcher, in milliseconds. */
   readonly testIntervalMs: number;
-  /** The same once the last test ended well. */
+  /** The same where the last test ended well, or the failure was more likely a single one. */
   readonly confirmIntervalMs: number;
 };
 
-/** From trials on the quiet days: 3 answers beat 1 and 2; gray spells last 3 to 5 seconds. */
+/** From quiet days: spells of 9 to 12 seconds, 25 seconds apart, beside one failure in 80. */
 export const DEFAULT_TRUST_SETTINGS: TrustSettings = {
-  goodAnswersToReturn: 3,
-  maxSuspicionMs: 4500,
-  testIntervalMs: 200,
+  model: {
+    soundFailureShare: 0.012,
+    spells: [
+      { failureShare: 0.85, share: 0.75 },
+      { failureShare: 0.4, share: 0.25 },
+    ],
+    meanSpellMs: 10_000,
+    meanSoundMs: 25_000,
+    initialSound: 0.95,
+  },
+  trustedRisk: 0.2,
+  testIntervalMs: 400,
   confirmIntervalMs: 30,
 };
 
+/** Below this risk a suspect has more likely failed by chance than in a spell. */
+const HOPEFUL_RISK = 0.5;
+
 /** What one attempt showed of an upstream. */
 export type TrustEvent = {
   readonly upstreamId: string;
   readonly isGood: boolean;
-  /** When the attempt ended, in milliseconds of the daemon's clock. */
+  /**
+   * In milliseconds of the daemon's clock: when a good answer's request was sent, since that is the
+   * latest time at which the upstream was surely sound, and when a failure was seen.
+   */
   readonly at: number;
 };
 
 export type TrustChange = 'suspected' | 'trusted';
 
 type Standing = {
-  readonly isSuspect: boolean;
-  readonly goodInRow: number;
+  readonly belief: FailureBelief;
+  readonly wasLastGood: boolean;
   readonly lastFailureAt: number;
   readonly lastTestAt: number;
 };
 
-const TRUSTED: Standing = {
-  isSuspect: false,
-  goodInRow: 0,
-  lastFailureAt: Number.NEGATIVE_INFINITY,
-  lastTestAt: Number.NEGATIVE_INFINITY,
-};
-
 export class UpstreamTrust {
   readonly #settings: TrustSettings;
 
@@ -62,16 +71,32 @@
 
   /** Takes in an outcome; returns what changed, if anything. */
   record({ upstreamId, isGood, at }: TrustEvent): TrustChange | undefined {
-    const known = this.#standings.get(upstreamId) ?? TRUSTED;
-    return isGood
-      ? this.#recordGood(upstreamId, known, at)
-      : this.#recordBad(upstreamId, known, at);
+    const { model, trustedRisk } = this.#settings;
+    const known = this.#standings.get(upstreamId) ?? this.#createStanding(at);
+    // A request that was sent before the last failure was seen shows nothing of what came after.
+    if (isGood && at <= known.lastFailureAt) return undefined;
+    const wasSuspect = this.#computeRisk(known, at) > trustedRisk;
+    const standing = {
+      belief: applyOutcome(model, known.belief, isGood, at),
+      wasLastGood: isGood,
+      lastFailureAt: isGood ? known.lastFailureAt : Math.max(known.lastFailureAt, at),
+      lastTestAt: Math.max(known.lastTestAt, at),
+    };
+    this.#standings.set(upstreamId, standing);
+    const isSuspect = this.#computeRisk(standing, at) > trustedRisk;
+    if (isSuspect === wasSuspect) return undefined;
+    return isSuspect ? 'suspected' : 'trusted';
   }
 
-  isSuspect(upstreamId: string, now: number): boolean {
+  /** Probability that the next request to an upstream fails, from 0 to 1. */
+  getRisk(upstreamId: string, now: number): number {
+    const { model } = this.#settings;
     const known = this.#standings.get(upstreamId);
-    if (!known?.isSuspect) return false;
-    return now - known.lastFailureAt < this.#settings.maxSuspicionMs;
+    return known ? this.#computeRisk(known, now) : computeRisk(model, createBelief(model, now));
+  }
+
+  isSuspect(upstreamId: string, now: number): boolean {
+    return this.getRisk(upstreamId, now) > this.#settings.trustedRisk;
   }
 
   /** Whether a suspect may be tested now. */
@@ -79,7 +104,8 @@
     const known = this.#standings.get(upstreamId);
     if (!known) return false;
     const { testIntervalMs, confirmIntervalMs } = this.#settings;
-    return now - known.lastTestAt >= (known.goodInRow > 0 ? confirmIntervalMs : testIntervalMs);
+    const isHopeful = known.wasLastGood || this.#computeRisk(known, now) < HOPEFUL_RISK;
+    return now - known.lastTestAt >= (isHopeful ? confirmIntervalMs : testIntervalMs);
   }
 
   /** Notes that a test is under way. */
@@ -88,10 +114,6 @@
     if (known) this.#standings.set(upstreamId, { ...known, lastTestAt: now });
   }
 
-  getLastFailureAt(upstreamId: string): number {
-    return this.#standings.get(upstreamId)?.lastFailureAt ?? TRUSTED.lastFailureAt;
-  }
-
   /** Forgets upstreams that are gone. */
   keep(upstreamIds: ReadonlySet<string>): void {
     [...this.#standings.keys()]
@@ -99,20 +121,17 @@
       .forEach((id) => this.#standings.delete(id));
   }
 
-  #recordGood(upstreamId: string, known: Standing, at: number): TrustChange | undefined {
-    if (!known.isSuspect || at <= known.lastFailureAt) return undefined;
-    const goodInRow = known.goodInRow + 1;
-    const isSuspect = goodInRow < this.#settings.goodAnswersToReturn;
-    const lastTestAt = Math.max(known.lastTestAt, at);
-    this.#standings.set(upstreamId, { ...known, goodInRow, isSuspect, lastTestAt });
-    return isSuspect ? undefined : 'trusted';
+  #createStanding(at: number): Standing {
+    return {
+      belief: createBelief(this.#settings.model, at),
+      wasLastGood: true,
+      lastFailureAt: Number.NEGATIVE_INFINITY,
+      lastTestAt: Number.NEGATIVE_INFINITY,
+    };
   }
 
-  #recordBad(upstreamId: string, known: Standing, at: number): TrustChange | undefined {
-    const lastFailureAt = Math.max(known.lastFailureAt, at);
-    const lastTestAt = Math.max(known.lastTestAt, at);
-    const suspect = { isSuspect: true, goodInRow: 0, lastFailureAt, lastTestAt };
-    this.#standings.set(upstreamId, suspect);
-    return known.isSuspect ? undefined : 'suspected';
+  #computeRisk({ belief }: Standing, now: number): number {
+    const { model } = this.#settings;
+    return computeRisk(model, ageBelief(model, belief, now));
   }
 }
--- a/packages/core/src/waiting/judge-wait.ts
+++ b/packages/core/src/waiting/judge-wait.ts
@@ -52,3 +52,18 @@
   if (expected + state.meanAttemptMs <= timeLeftMs) return { kind: 'wait' };
   return { kind: 'refuse', retryAfterMs: drawRetryAfterMs(expected, timeLeftMs, random) };
 }
+
+/** Risk taken by a request that does not have to wait: that of an upstream that is trusted. */
+const LEAST_RISK = 0.2;
+/** A clean refusal is worth more to a caller than a likelier failure than this. */
+const MOST_RISK = 0.6;
+
+/**
+ * The highest probability of failure at which a request is better sent now than left to wait: it
+ * grows with the part of its time that waiting for a trusted upstream would take.
+ */
+export function computeMaxRisk(state: WaitState, timeLeftMs: number): number {
+  const needed = computeExpectedWaitMs(state) + state.meanAttemptMs;
+  const pressure = timeLeftMs <= 0 ? 1 : Math.min(1, needed / timeLeftMs);
+  return LEAST_RISK + pressure * (MOST_RISK - LEAST_RISK);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -194,7 +194,7 @@
       replica: this.#replica,
       daemonCount: DAEMON_COUNT,
       onStep: (request, step) => this.#logStep(request, step),
-      onOutcome: (upstreamId, isGood) => this.#reports.recordOutcome(upstreamId, isGood),
+      onOutcome: (event) => this.#reports.recordOutcome(event),
       onTrustChange: (upstream, change) => this.#log.info('trust', { upstream, change }),
       onLoadChange: () => this.#reports.recordLoad(),
     });
--- a/packages/gateway/src/reports/dispatcher-reports.ts
+++ b/packages/gateway/src/reports/dispatcher-reports.ts
@@ -3,7 +3,7 @@
  * attempts. Messages are bounded in rate and size; what does not fit is the oldest, which matters
  * least.
  */
-import type { Clock } from '@baobabline/core';
+import type { Clock, TrustEvent } from '@baobabline/core';
 
 import { computeUpstreamName } from './report-message.js';
 import type { DispatcherReport } from './report-message.js';
@@ -23,12 +23,10 @@
 const LOAD_DELAY_MS = 60;
 const MAX_OUTCOMES = 64;
 
-type SeenOutcome = { readonly upstreamId: string; readonly isGood: boolean; readonly at: number };
-
 export class DispatcherReports {
   readonly #ports: ReportPorts;
 
-  #outcomes: readonly SeenOutcome[] = [];
+  #outcomes: readonly TrustEvent[] = [];
 
   #sequence = 0;
 
@@ -41,9 +39,8 @@
   }
 
   /** Notes an outcome to be told with the next report. */
-  recordOutcome(upstreamId: string, isGood: boolean): void {
-    const seen = { upstreamId, isGood, at: this.#ports.clock.now() };
-    this.#outcomes = [...this.#outcomes, seen].slice(-MAX_OUTCOMES);
+  recordOutcome(event: TrustEvent): void {
+    this.#outcomes = [...this.#outcomes, event].slice(-MAX_OUTCOMES);
     this.#schedule(OUTCOME_DELAY_MS);
   }
 
--- a/packages/gateway/src/reports/report-message.ts
+++ b/packages/gateway/src/reports/report-message.ts
@@ -10,7 +10,7 @@
 export type ReportedOutcome = {
   readonly upstream: number;
   readonly isGood: boolean;
-  /** How long ago the attempt ended, in milliseconds. */
+  /** How long ago that was, in milliseconds: a good answer's sending, a failure's end. */
   readonly ageMs: number;
 };
 
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -3,6 +3,6 @@
 export { listOnwardHeaders } from './request-head.js';
 export { RequestRun } from './request-run.js';
 export { ServiceDesk } from './service-desk.js';
-export type { DeskPorts } from './service-desk.js';
+export type { DeskPorts, JudgedAnswer } from './service-desk.js';
 export { UpstreamState } from './upstream-state.js';
 export type { RequestEnd, RequestStep, RoutedRequest } from './types.js';
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -122,6 +122,7 @@
     const choice = this.#desk.choose({
       isRepeatable: this.#isRepeatable,
       canTryAgain: this.#canTryAgain,
+      timeLeftMs: this.#timeLeft,
       bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
@@ -205,7 +206,7 @@
     const usual = this.#ports.times.getMeanMs(this.#request.route.id);
     const overdueMs = Math.max(MIN_OVERDUE_MS, usual * OVERDUE_FACTOR);
     return setTimeout(() => {
-      this.#desk.recordOutcome(upstreamId, false);
+      this.#desk.recordSilence(upstreamId);
       this.#record({ step: 'overdue', upstream: upstreamId, afterMs: Math.round(overdueMs) });
     }, overdueMs);
   }
@@ -224,6 +225,7 @@
     const choice = this.#desk.choose({
       isRepeatable: true,
       canTryAgain: false,
+      timeLeftMs: this.#timeLeft,
       bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
@@ -247,7 +249,7 @@
   }
 
   #handleAnswer(
-    { upstreamId, state }: Attempt,
+    { upstreamId, state, startedAt }: Attempt,
     answer: UpstreamAnswer,
     isLeaving: boolean,
     elapsedMs: number,
@@ -259,7 +261,7 @@
       return;
     }
     const isGood = status < SERVER_ERROR_STATUS && (head.isSigned || status >= 300);
-    this.#desk.recordOutcome(upstreamId, isGood);
+    this.#desk.recordAnswer(upstreamId, isGood, isGood ? startedAt : this.#now);
     if (isGood) {
       this.#ports.times.record(this.#request.route.id, elapsedMs);
       this.#desk.recordAttemptTime(elapsedMs);
@@ -286,12 +288,13 @@
   ): void {
     this.#record({ step: end.kind, upstream: upstreamId, reason: end.reason, elapsedMs });
     if (end.kind === 'unsent') {
-      this.#desk.recordUnreachable(upstreamId);
+      this.#desk.recordSilence(upstreamId);
       this.#sentCount -= 1;
       this.#tryAgainOrFail(true, true);
       return;
     }
-    this.#desk.recordOutcome(upstreamId, false);
+    if (end.kind === 'lost') this.#desk.recordSilence(upstreamId);
+    else this.#desk.recordAnswer(upstreamId, false, this.#now);
     this.#unknownError ??= createRefusal(end.kind === 'lost' ? 'upstreamLost' : 'answerInvalid');
     this.#tryAgainOrFail(this.#isRepeatable);
   }
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -2,7 +2,13 @@
  * One service at one dispatcher: the upstreams that may be used, the requests that wait for room,
  * and the allowance for repeats.
  */
-import { chooseUpstream, judgeWait, WaitingLine, WindowAllowance } from '@baobabline/core';
+import {
+  chooseUpstream,
+  computeMaxRisk,
+  judgeWait,
+  WaitingLine,
+  WindowAllowance,
+} from '@baobabline/core';
 import type {
   Clock,
   PlacementCandidate,
@@ -10,8 +16,10 @@
   RandomSource,
   RegisteredUpstream,
   TrustChange,
+  TrustEvent,
   UpstreamTrust,
   WaitingRequest,
+  WaitState,
   WaitVerdict,
   WindowAllowanceSettings,
 } from '@baobabline/core';
@@ -27,12 +35,15 @@
   readonly dataCentre: string;
   readonly allowance: WindowAllowanceSettings;
   readonly createUpstream: (record: RegisteredUpstream) => UpstreamState;
-  /** Called with each outcome that this dispatcher has seen itself. */
-  readonly onOutcome: (
-    upstreamId: string,
-    isGood: boolean,
-    change: TrustChange | undefined,
-  ) => void;
+  /** Called with each answer that this dispatcher has judged. */
+  readonly onAnswer: (judged: JudgedAnswer) => void;
+  readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
+};
+
+/** What an answer has shown of its upstream. */
+export type JudgedAnswer = TrustEvent & {
+  readonly wasSuspect: boolean;
+  readonly change: TrustChange | undefined;
 };
 
 /** A request that can be placed once there is room. */
@@ -47,6 +58,8 @@
 export type PlacementNeeds = {
   readonly isRepeatable: boolean;
   readonly canTryAgain: boolean;
+  /** What is left until the request is given up, in milliseconds. */
+  readonly timeLeftMs: number;
   readonly bodyBytes: number;
   readonly excluded: ReadonlySet<string>;
 };
@@ -115,19 +128,23 @@
 
   /** Chooses an upstream that has room now. */
   choose(needs: PlacementNeeds): PlacementChoice | undefined {
-    const now = this.#ports.clock.now();
+    const { clock, dataCentre, random, trust } = this.#ports;
+    const now = clock.now();
     const candidates = this.#listUsable(needs.excluded)
       .filter((state) => !state.isPaused(now))
       .map((state) => this.#buildCandidate(state, now));
-    return chooseUpstream(
+    const choice = chooseUpstream(
       {
         ...needs,
         mayTest: this.allowance.getShareLeft() >= MIN_SHARE_FOR_TESTS,
-        dataCentre: this.#ports.dataCentre,
+        maxRisk: computeMaxRisk(this.#computeWaitState(this.#line.size), needs.timeLeftMs),
+        dataCentre,
       },
       candidates,
-      this.#ports.random,
+      random,
     );
+    if (choice?.reason === 'test') trust.recordTest(choice.upstreamId, now);
+    return choice;
   }
 
   /** Whether any upstream could ever take the request. */
@@ -137,21 +154,7 @@
 
   /** Judges whether a request should wait behind so many others. */
   judgeWait(timeLeftMs: number, ahead = this.#line.size): WaitVerdict {
-    const now = this.#ports.clock.now();
-    const states = this.#listUsable(new Set());
-    const trusted = states.filter(({ record }) => !this.#ports.trust.isSuspect(record.id, now));
-    const counted = trusted.length > 0 ? trusted : states;
-    const slots = counted.reduce((sum, { record }) => sum + record.slots, 0);
-    const share = this.#computeOwnShare(counted);
-    return judgeWait(
-      {
-        waiting: ahead,
-        slots: slots * share,
-        meanAttemptMs: this.#meanAttemptMs,
-      },
-      timeLeftMs,
-      this.#ports.random,
-    );
+    return judgeWait(this.#computeWaitState(ahead), timeLeftMs, this.#ports.random);
   }
 
   /** Takes a hedge out of the allowance if enough of it is left. */
@@ -183,17 +186,22 @@
     this.#upstreams.forEach(({ pool }) => pool.runTick());
   }
 
-  /** Notes that an upstream cannot be reached from here, which says nothing to other daemons. */
-  recordUnreachable(upstreamId: string): void {
-    const { trust, clock } = this.#ports;
-    trust.record({ upstreamId, isGood: false, at: clock.now() });
+  /** Notes what an upstream answered, for this dispatcher and its peers. */
+  recordAnswer(upstreamId: string, isGood: boolean, at: number): void {
+    const { trust, onAnswer } = this.#ports;
+    const wasSuspect = trust.isSuspect(upstreamId, at);
+    const change = trust.record({ upstreamId, isGood, at });
+    onAnswer({ upstreamId, isGood, at, wasSuspect, change });
   }
 
-  /** Notes what an attempt has shown, for this dispatcher and its peers. */
-  recordOutcome(upstreamId: string, isGood: boolean): void {
-    const { trust, clock, onOutcome } = this.#ports;
-    const change = trust.record({ upstreamId, isGood, at: clock.now() });
-    onOutcome(upstreamId, isGood, change);
+  /**
+   * Notes that no answer came. It may be the link from here, so that it says nothing to other
+   * dispatchers, which see for themselves.
+   */
+  recordSilence(upstreamId: string): void {
+    const { trust, clock, onTrustChange } = this.#ports;
+    const change = trust.record({ upstreamId, isGood: false, at: clock.now() });
+    if (change) onTrustChange(upstreamId, change);
   }
 
   recordAttemptTime(elapsedMs: number): void {
@@ -245,6 +253,18 @@
     return inFlight + this.#ports.peerLoads.count(reportName);
   }
 
+  /** What a request has to expect behind so many others. */
+  #computeWaitState(ahead: number): WaitState {
+    const { trust, clock } = this.#ports;
+    const now = clock.now();
+    const states = this.#listUsable(new Set());
+    const trusted = states.filter(({ record }) => !trust.isSuspect(record.id, now));
+    const counted = trusted.length > 0 ? trusted : states;
+    const slots = counted.reduce((sum, { record }) => sum + record.slots, 0);
+    const share = this.#computeOwnShare(counted);
+    return { waiting: ahead, slots: slots * share, meanAttemptMs: this.#meanAttemptMs };
+  }
+
   /** The part of the room that this dispatcher gets, judged by what it has in flight. */
   #computeOwnShare(states: readonly UpstreamState[]): number {
     const own = states.reduce((sum, { inFlight }) => sum + inFlight, 0);
@@ -255,15 +275,16 @@
   #buildCandidate(state: UpstreamState, now: number): PlacementCandidate {
     const { trust } = this.#ports;
     const { id, dataCentre, slots } = state.record;
+    const risk = trust.getRisk(id, now);
     const isSuspect = trust.isSuspect(id, now);
     return {
       id,
       dataCentre,
       slots,
       inFlight: this.#countInFlight(state),
+      risk,
       isSuspect,
       isTestDue: isSuspect && trust.isTestDue(id, now),
-      sinceFailureMs: now - trust.getLastFailureAt(id),
       warmUpMs: Math.max(0, state.warmUntil - now),
     };
   }
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -9,6 +9,7 @@
   Replica,
   Route,
   TrustChange,
+  TrustEvent,
 } from '@baobabline/core';
 
 import type { HttpDialect } from '../dialect/index.js';
@@ -21,7 +22,7 @@
   ServiceDesk,
   UpstreamState,
 } from '../requests/index.js';
-import type { RequestEnd, RequestStep, RoutedRequest } from '../requests/index.js';
+import type { JudgedAnswer, RequestEnd, RequestStep, RoutedRequest } from '../requests/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import { UpstreamPool } from '../upstreams/index.js';
 
@@ -34,7 +35,8 @@
   /** Daemons that may exist, among which the slack of the retry allowance is divided. */
   readonly daemonCount: number;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
-  readonly onOutcome: (upstreamId: string, isGood: boolean) => void;
+  /** Called with what other dispatchers should know of an upstream. */
+  readonly onOutcome: (event: TrustEvent) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLoadChange: () => void;
 };
@@ -143,8 +145,10 @@
     if (change) this.#ports.onTrustChange(upstreamId, change);
   }
 
-  #isSuspect(upstreamId: string): boolean {
-    return this.#trust.isSuspect(upstreamId, this.#ports.clock.now());
+  /** A good answer of an upstream that was trusted is no news to anybody. */
+  #handleAnswer({ upstreamId, isGood, at, wasSuspect, change }: JudgedAnswer): void {
+    if (!isGood || wasSuspect) this.#ports.onOutcome({ upstreamId, isGood, at });
+    if (change) this.#ports.onTrustChange(upstreamId, change);
   }
 
   #refreshRoutes(): boolean {
@@ -173,12 +177,8 @@
         daemonCount,
       },
       createUpstream: (record) => this.#createUpstream(record),
-      onOutcome: (upstreamId, isGood, change) => {
-        // A good answer of a trusted upstream is no news to anybody.
-        const isNews = !isGood || change !== undefined || this.#isSuspect(upstreamId);
-        if (isNews) this.#ports.onOutcome(upstreamId, isGood);
-        if (change) this.#ports.onTrustChange(upstreamId, change);
-      },
+      onAnswer: (judged) => this.#handleAnswer(judged),
+      onTrustChange: this.#ports.onTrustChange,
     });
     this.#desks.set(name, desk);
     return desk;
