Serve metrics, choose dispatchers by strength and load, name every fault of a record

Metrics: on-call engineers had log lines alone. Counters and histograms of requests, attempts, failures, refusals and waits, and gauges of upstreams by what is believed of them, members, store, configuration and allowance, on the port that the deploy file names.

Each daemon tells its capacity, from processor and link, and its load in eighths; the strongest of a data centre are taken, as many as the load needs at seven tenths, and each caller gets two of them by weighted rendezvous hashing. Small sites are unchanged: equal VMs, one dispatcher.

Records that cannot be used are logged through the log, with every fault in a line.

--- /dev/null
+++ b/packages/core/src/dispatchers/capacity.ts
@@ -0,0 +1,24 @@
+/**
+ * What a VM can carry as a dispatcher, from what is known of its processor and link.
+ */
+
+/** The part of a VM that a daemon may use. */
+export type VmShape = {
+  /** Cores, in fractions, that one process can use. */
+  readonly cores: number;
+  readonly linkMegabitsPerSecond: number;
+};
+
+/** Processor time of a request on the users' platform, from scale days: 0.2 cores at 75 a second. */
+const CORE_MS_PER_REQUEST = 2.7;
+/** Bytes that a request and its answer put on the link in each direction, uploads included. */
+const LINK_BYTES_PER_REQUEST = 10_000;
+const MS_PER_SECOND = 1000;
+const BYTES_PER_MEGABIT = 125_000;
+
+/** Requests a second at which the processor or the link is full. */
+export function computeCapacity({ cores, linkMegabitsPerSecond }: VmShape): number {
+  const byProcessor = (cores * MS_PER_SECOND) / CORE_MS_PER_REQUEST;
+  const byLink = (linkMegabitsPerSecond * BYTES_PER_MEGABIT) / LINK_BYTES_PER_REQUEST;
+  return Math.min(byProcessor, byLink);
+}
--- a/packages/core/src/dispatchers/index.ts
+++ b/packages/core/src/dispatchers/index.ts
@@ -1,2 +1,5 @@
-export { chooseDispatchers, chooseForCallers } from './choose-dispatchers.js';
+export { computeCapacity } from './capacity.js';
+export type { VmShape } from './capacity.js';
+export { chooseDispatchers, chooseForCaller, chooseForCallers } from './choose-dispatchers.js';
 export type { DispatcherCandidate } from './choose-dispatchers.js';
+export { LoadLevel } from './load-level.js';
--- a/packages/core/src/entry-points/entry-points.test.ts
+++ b/packages/core/src/entry-points/entry-points.test.ts
@@ -13,6 +13,8 @@
   incarnation: 1,
   version: 1,
   state: 'serving',
+  capacity: 1,
+  load: 0,
 }));
 
 describe('chooseEntries', () => {
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -17,6 +17,8 @@
     incarnation: 1,
     version: 1,
     state: 'serving',
+    capacity: 1,
+    load: 0,
     ...changes,
   };
 }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -55,6 +55,13 @@
     this.#accept({ ...this.self, state, version: this.self.version + 1 });
   }
 
+  /** Notes what this daemon carries; returns whether that is news, which the fleet is told. */
+  setOwnLoad(load: number): boolean {
+    if (load === this.self.load) return false;
+    this.#accept({ ...this.self, load, version: this.self.version + 1 });
+    return true;
+  }
+
   listPresent(): readonly Member[] {
     return this.members.list().filter(isPresent);
   }
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -15,6 +15,10 @@
   /** Raised by the member itself whenever it changes or refutes what is said of it. */
   readonly version: number;
   readonly state: MemberState;
+  /** Requests a second that its VM can carry. */
+  readonly capacity: number;
+  /** Requests a second that it carries, in coarse steps: each change is told to the fleet. */
+  readonly load: number;
 };
 
 export type MembershipSettings = {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -264,6 +264,8 @@
       incarnation: Date.now(),
       version: 1,
       state: 'joining',
+      capacity: 1,
+      load: 0,
     };
   }
 
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -13,6 +13,8 @@
   incarnation: z.number(),
   version: z.number(),
   state: z.enum(['joining', 'serving', 'leaving', 'suspect', 'left', 'dead']),
+  capacity: z.number().positive(),
+  load: z.number().min(0),
 });
 
 const documentNameSchema = z.enum(DOCUMENT_NAMES);
--- a/packages/experiments/src/tables/tables-experiment.ts
+++ b/packages/experiments/src/tables/tables-experiment.ts
@@ -51,6 +51,8 @@
     incarnation: 1,
     version: 1,
     state: 'serving',
+    capacity: 1,
+    load: 0,
   };
 }
 
--- a/packages/gateway/src/dialect/index.ts
+++ b/packages/gateway/src/dialect/index.ts
@@ -8,6 +8,7 @@
   HeaderPair,
   HttpDialect,
   PlatformPorts,
+  RecordFaultHandler,
   RecordSource,
   UpstreamHead,
 } from './types.js';
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -77,9 +77,13 @@
   close(): void;
 }
 
+/** Called with the key of a record that cannot be used, and why. */
+export type RecordFaultHandler = (key: string, reason: string) => void;
+
 /** All that differs between platforms. */
 export type PlatformPorts = {
   readonly http: HttpDialect;
   readonly directory: DirectoryDialect;
-  readonly source: RecordSource;
+  /** Creates the source; `onFault` is called for each record that names nothing to use. */
+  readonly createSource: (onFault: RecordFaultHandler) => RecordSource;
 };
--- a/packages/gateway/src/directory/directory-server.ts
+++ b/packages/gateway/src/directory/directory-server.ts
@@ -8,7 +8,8 @@
 
 export type DirectoryPorts = {
   readonly dialect: DirectoryDialect;
-  readonly answer: (question: DirectoryQuestion) => DirectoryAnswer;
+  /** Answers a question of the caller at an address. */
+  readonly answer: (question: DirectoryQuestion, caller: string) => DirectoryAnswer;
 };
 
 export type ReadinessPorts = {
@@ -22,8 +23,8 @@
 /** Creates the listener that names the daemons to use. */
 export function createDirectoryServer({ dialect, answer }: DirectoryPorts): Server {
   return createJsonServer({
-    [dialect.directoryPath]: (query) => {
-      const found = answer(dialect.readDirectoryQuestion(query));
+    [dialect.directoryPath]: (query, caller) => {
+      const found = answer(dialect.readDirectoryQuestion(query), caller);
       const status = found.endpoints.length > 0 ? OK_STATUS : NOT_READY_STATUS;
       return { status, body: dialect.buildDirectoryAnswer(found) };
     },
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -4,8 +4,11 @@
  */
 import {
   chooseDispatchers,
+  chooseForCaller,
   chooseForCallers,
+  computeCapacity,
   DEFAULT_MEMBERSHIP_SETTINGS,
+  hashText,
   Membership,
 } from '@baobabline/core';
 import type { Changes, Clock, Member, RandomSource } from '@baobabline/core';
@@ -98,9 +101,28 @@
     await this.gossip.announce(ANNOUNCE_TO);
   }
 
-  /** The dispatchers that callers of a data centre are sent to. */
-  listForCallers(dataCentre: string): readonly Member[] {
-    return chooseForCallers(this.#listCandidates(), dataCentre, this.#count);
+  /** Tells the fleet what this daemon carries, if that is news. */
+  announceLoad(load: number): void {
+    if (!this.membership.setOwnLoad(load)) return;
+    this.gossip
+      .announce(ANNOUNCE_TO)
+      .catch((error: Error) =>
+        this.#ports.log.warn('announcement-failed', { reason: error.message }),
+      );
+  }
+
+  /** The dispatchers that a caller in a data centre is sent to. */
+  listForCaller(dataCentre: string, caller: string): readonly Member[] {
+    const dispatchers = chooseForCallers(this.#listCandidates(), dataCentre, this.#count);
+    return chooseForCaller(dispatchers, caller, hashText);
+  }
+
+  /** Members by state, as this daemon sees them. */
+  countMembers(): ReadonlyMap<string, number> {
+    const states = this.membership.members.list().map(({ state }) => state);
+    return new Map(
+      [...new Set(states)].map((state) => [state, states.filter((one) => one === state).length]),
+    );
   }
 
   /** Dispatchers of all data centres but this daemon. */
@@ -127,7 +149,7 @@
   }
 
   #createSelf(): Member {
-    const { id, dataCentre, callers, peers } = this.#ports.settings;
+    const { id, dataCentre, callers, peers, machine } = this.#ports.settings;
     return {
       id,
       dataCentre,
@@ -137,6 +159,8 @@
       incarnation: Date.now(),
       version: 1,
       state: 'joining',
+      capacity: computeCapacity(machine),
+      load: 0,
     };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,23 +2,29 @@
  * Puts a gateway daemon together: it listens, learns what is published, finds its peers, and
  * carries out what the core decides.
  */
-import { Replica } from '@baobabline/core';
+import { LoadLevel, Replica } from '@baobabline/core';
 import type { Changes, RequestError } from '@baobabline/core';
 import { createLog, createProcessRandom, systemClock } from '@baobabline/daemon';
 import type { Log } from '@baobabline/daemon';
 import type { Server } from 'node:http';
 import { setTimeout as wait } from 'node:timers/promises';
 
-import type { DirectoryAnswer, DirectoryQuestion, PlatformPorts } from './dialect/index.js';
+import type {
+  DirectoryAnswer,
+  DirectoryQuestion,
+  PlatformPorts,
+  RecordSource,
+} from './dialect/index.js';
 import { createDirectoryServer, createReadinessServer } from './directory/index.js';
 import { CallerServer } from './edge/index.js';
 import { FleetLinks } from './fleet/index.js';
 import { closeServer, listenOn } from './http/index.js';
 import { ChangeWaiters, StoreReader } from './knowledge/index.js';
+import { createMetricsServer, GatewayMetrics } from './metrics/index.js';
 import { createPeerServer } from './peers/index.js';
 import { DispatcherReports, ReportSocket } from './reports/index.js';
 import type { DispatcherReport } from './reports/index.js';
-import type { RequestStep, RoutedRequest } from './requests/index.js';
+import type { RequestEnd, RequestStep, RoutedRequest } from './requests/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
 
@@ -68,6 +74,8 @@
 
   readonly #fleet: FleetLinks;
 
+  readonly #source: RecordSource;
+
   readonly #reader: StoreReader;
 
   readonly #reports: DispatcherReports;
@@ -79,6 +87,10 @@
 
   readonly #callers: CallerServer;
 
+  readonly #load: LoadLevel;
+
+  readonly #metrics: GatewayMetrics;
+
   readonly #silenceMs: number;
 
   #phase: GatewayPhase = 'joining';
@@ -91,12 +103,17 @@
     this.#settings = settings;
     this.#platform = platform;
     this.#log = createLog(settings, this.#random);
+    this.#source = platform.createSource((key, reason) =>
+      this.#log.warn('record-unusable', { key, reason }),
+    );
     this.#silenceMs = FOLLOW_SILENCE_MS + this.#random.next() * FOLLOW_SILENCE_SPREAD_MS;
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#reader = this.#createReader();
     this.#reports = this.#createReports();
     this.#callers = this.#createCallers();
+    this.#metrics = this.#createMetrics();
+    this.#load = new LoadLevel(this.#fleet.membership.self.capacity, this.#clock);
   }
 
   get phase(): GatewayPhase {
@@ -109,7 +126,7 @@
     const peerServer = this.#createPeerServer();
     const directoryServer = createDirectoryServer({
       dialect: this.#platform.directory,
-      answer: (question) => this.#answerDirectory(question),
+      answer: (question, caller) => this.#answerDirectory(question, caller),
     });
     const readinessServer = createReadinessServer({
       dialect: this.#platform.directory,
@@ -132,6 +149,9 @@
     this.#phase = 'serving';
     this.#log.info('serving', { sinceStartMs: Math.round(performance.now()) });
     await this.#fleet.announceState('serving');
+    await this.#startMetrics().catch((error: Error) =>
+      this.#log.warn('metrics-fault', { reason: error.message }),
+    );
   }
 
   /** Stops without cutting a request: out of the directory first, then out of work. */
@@ -156,6 +176,18 @@
     this.#log.info('settings-changed', { effect: 'taken at the next start' });
   }
 
+  async #startMetrics(): Promise<void> {
+    const { metrics } = this.#settings;
+    if (!metrics) return;
+    await this.#metrics.load();
+    const server = createMetricsServer(
+      async () => this.#metrics.describe(),
+      (reason) => this.#log.warn('metrics-fault', { reason }),
+    );
+    this.#servers = [...this.#servers, server];
+    await listenOn(server, metrics.address, metrics.port);
+  }
+
   async #waitUntilIdle(startedAt: number): Promise<void> {
     const age = this.#clock.now() - startedAt;
     const latest = this.#settings.bounds.stopGraceMs - STOP_MARGIN_MS;
@@ -175,7 +207,7 @@
     await this.#callers.close();
     await Promise.all(this.#servers.map(closeServer));
     this.#fleet.close();
-    this.#platform.source.close();
+    this.#source.close();
   }
 
   async #waitForConfiguration(): Promise<void> {
@@ -192,9 +224,21 @@
   #runSystemTick(): void {
     this.#replica.runTick(this.#clock.now());
     this.#services.runTick();
+    this.#fleet.announceLoad(this.#load.refresh());
     this.#fleet.follower.runTick();
   }
 
+  #createMetrics(): GatewayMetrics {
+    return new GatewayMetrics({
+      listServices: () => this.#services.listDesks().map((desk) => desk.describe()),
+      countMembers: () => this.#fleet.countMembers(),
+      getConfigurationVersion: () => this.#services.routes?.configuration.version ?? 0,
+      getRevision: () => this.#replica.revision,
+      isStoreAway: () => this.#reader.isAway,
+      isDispatcher: () => this.#fleet.isDispatcher,
+    });
+  }
+
   #createServices(): RoutedServices {
     return new RoutedServices({
       clock: this.#clock,
@@ -203,7 +247,7 @@
       dialect: this.#platform.http,
       replica: this.#replica,
       daemonCount: DAEMON_COUNT,
-      onStep: (request, step) => this.#logStep(request, step),
+      onStep: (request, step) => this.#recordStep(request, step),
       onOutcome: (event) => this.#reports.recordOutcome(event),
       onTrustChange: (upstream, change) => this.#log.info('trust', { upstream, change }),
       onLinkChange: (upstream, change) => this.#log.info('link', { upstream, change }),
@@ -229,7 +273,7 @@
       random: this.#random,
       log: this.#log,
       replica: this.#replica,
-      source: this.#platform.source,
+      source: this.#source,
       shouldRead: () => this.#shouldRead(),
       onChanged: () => this.#handleKnowledge(),
       onAway: () => this.#waiters.releaseAll(),
@@ -258,8 +302,16 @@
       maxHeldBytes: this.#settings.maxHeldBytes,
       getRoutes: () => this.#services.routes,
       chooseService: (route) => this.#services.chooseService(route),
-      serve: (request, onEnd) => this.#services.serve(request, onEnd),
-      onRefused: (error, requestId, target) => this.#logRefusal(error, requestId, target),
+      serve: (request, onEnd) => this.#serve(request, onEnd),
+      onRefused: (error, requestId, target) => this.#recordRefusal(error, requestId, target),
+    });
+  }
+
+  #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): () => void {
+    this.#load.recordArrival();
+    return this.#services.serve(request, (end) => {
+      this.#metrics.recordEnd(request, end, this.#clock.now() - request.arrivedAt);
+      onEnd(end);
     });
   }
 
@@ -299,23 +351,29 @@
     this.#log.info('configuration', { version, routes: routes.configuration.routes.length });
   }
 
-  #answerDirectory({ dataCentre = this.#settings.dataCentre }: DirectoryQuestion): DirectoryAnswer {
+  #answerDirectory(
+    { dataCentre = this.#settings.dataCentre }: DirectoryQuestion,
+    caller: string,
+  ): DirectoryAnswer {
     const { directoryHoldSeconds, bounds } = this.#settings;
-    const members = this.#fleet.listForCallers(dataCentre);
+    const members = this.#fleet.listForCaller(dataCentre, caller);
     return {
       endpoints: members.map(({ address, callerPort }) => ({ address, port: callerPort })),
       holdSeconds: Math.min(directoryHoldSeconds, bounds.maxDirectoryHoldMs / MS_PER_SECOND),
     };
   }
 
-  #logStep({ id, route, service, endAt }: RoutedRequest, step: RequestStep): void {
+  #recordStep(request: RoutedRequest, step: RequestStep): void {
+    this.#metrics.recordStep(request, step, this.#clock.now());
+    const { id, route, service, endAt } = request;
     if (!this.#log.shouldLogDecision()) return;
     const timeLeftMs = Math.round(endAt - this.#clock.now());
     const fields = { request: id, route: route.id, service, timeLeftMs, ...step };
     this.#log.decision('request', fields, isFailedStep(step) ? 'kept' : 'ordinary');
   }
 
-  #logRefusal({ result, message }: RequestError, request: string, target: string): void {
+  #recordRefusal({ result, message }: RequestError, request: string, target: string): void {
+    this.#metrics.recordRefusal(result.code);
     if (!this.#log.shouldLogDecision()) return;
     const { code, outcome } = result;
     const fields = { request, target, code, outcome, detail: message };
--- a/packages/gateway/src/http/json-server.ts
+++ b/packages/gateway/src/http/json-server.ts
@@ -6,8 +6,8 @@
 
 export type JsonAnswer = { readonly status: number; readonly body: unknown };
 
-/** Answers a request by its query. */
-export type JsonHandler = (query: Readonly<Record<string, string>>) => JsonAnswer;
+/** Answers a request by its query; `caller` is the address that it came from. */
+export type JsonHandler = (query: Readonly<Record<string, string>>, caller: string) => JsonAnswer;
 
 const NOT_FOUND: JsonAnswer = { status: 404, body: { error: 'not found' } };
 const BASE = 'http://localhost';
@@ -28,7 +28,8 @@
 ): void {
   const { pathname, searchParams } = new URL(message.url ?? '/', BASE);
   const handler = message.method === 'GET' ? handlers[pathname] : undefined;
-  answerJson(response, handler ? handler(Object.fromEntries(searchParams)) : NOT_FOUND);
+  const caller = message.socket.remoteAddress ?? '';
+  answerJson(response, handler ? handler(Object.fromEntries(searchParams), caller) : NOT_FOUND);
 }
 
 /** Creates a listener from handlers by path. */
--- /dev/null
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -0,0 +1,176 @@
+/**
+ * The metrics of a gateway, in base units, for Prometheus.
+ */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
+
+export type UpstreamCondition = 'trusted' | 'suspect' | 'unreachable' | 'leaving';
+
+/** One service as it stands now. */
+export type ServiceFigures = {
+  readonly service: string;
+  readonly waiting: number;
+  /** Part of the allowance for repeats that is left, from 0 to 1. */
+  readonly allowanceShare: number;
+  readonly upstreams: Readonly<Record<UpstreamCondition, number>>;
+};
+
+/** What is read when metrics are asked for. */
+export type FigureSource = {
+  readonly listServices: () => readonly ServiceFigures[];
+  /** Members of the fleet by state, as this daemon sees them. */
+  readonly countMembers: () => ReadonlyMap<string, number>;
+  readonly getConfigurationVersion: () => number;
+  readonly getRevision: () => number;
+  readonly isStoreAway: () => boolean;
+  readonly isDispatcher: () => boolean;
+};
+
+const CONDITIONS: readonly UpstreamCondition[] = ['trusted', 'suspect', 'unreachable', 'leaving'];
+const MICROSECONDS_PER_SECOND = 1e6;
+
+export class MetricsRegistry {
+  readonly registry = new Registry();
+
+  readonly requests = this.#createCounter(
+    'baobabline_requests_total',
+    'Requests of callers by kind of route and outcome',
+    ['kind', 'outcome'],
+  );
+
+  readonly refusals = this.#createCounter(
+    'baobabline_refusals_total',
+    'Refusals and failures of the daemon itself, by result code',
+    ['code'],
+  );
+
+  readonly attempts = this.#createCounter(
+    'baobabline_attempts_total',
+    'Requests sent to upstreams, by the reason of the choice',
+    ['service', 'reason'],
+  );
+
+  readonly failures = this.#createCounter(
+    'baobabline_attempt_failures_total',
+    'Attempts without a good answer: by status of the answer, or by what came in its place',
+    ['service', 'cause'],
+  );
+
+  readonly durations = this.#createHistogram(
+    'baobabline_request_duration_seconds',
+    'Time from a request of a caller to its end',
+    'kind',
+  );
+
+  readonly waits = this.#createHistogram(
+    'baobabline_waiting_seconds',
+    'Time that a request waited for room before it was sent',
+    'service',
+  );
+
+  constructor(source: FigureSource) {
+    this.#registerServices(source);
+    this.#registerMembers(source);
+    this.#registerGauge(
+      'baobabline_configuration_version',
+      'Version of the configuration in force',
+      source.getConfigurationVersion,
+    );
+    this.#registerGauge(
+      'baobabline_store_revision',
+      'Revision up to which changes are known',
+      source.getRevision,
+    );
+    this.#registerGauge('baobabline_store_away', '1 while the store does not answer', () =>
+      Number(source.isStoreAway()),
+    );
+    this.#registerGauge('baobabline_dispatcher', '1 while callers are sent to this daemon', () =>
+      Number(source.isDispatcher()),
+    );
+    this.#registerProcess();
+  }
+
+  #createCounter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): Counter<Label> {
+    return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
+  }
+
+  #createHistogram<Label extends string>(
+    name: string,
+    help: string,
+    label: Label,
+  ): Histogram<Label> {
+    const registers = [this.registry];
+    const buckets = LATENCY_BUCKETS_SECONDS;
+    return new Histogram({ name, help, labelNames: [label], buckets, registers });
+  }
+
+  #registerServices({ listServices }: FigureSource): void {
+    const upstreams: Gauge = new Gauge({
+      name: 'baobabline_upstreams',
+      help: 'Upstreams by service and what this daemon believes of them',
+      labelNames: ['service', 'condition'],
+      registers: [this.registry],
+      collect: () =>
+        listServices().forEach((row) =>
+          CONDITIONS.forEach((condition) =>
+            upstreams.set({ service: row.service, condition }, row.upstreams[condition]),
+          ),
+        ),
+    });
+    const waiting: Gauge = new Gauge({
+      name: 'baobabline_waiting_requests',
+      help: 'Requests that wait for room',
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () =>
+        listServices().forEach((row) => waiting.set({ service: row.service }, row.waiting)),
+    });
+    const allowance: Gauge = new Gauge({
+      name: 'baobabline_repeat_allowance_share',
+      help: 'Part of the allowance for repeats that is left',
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () =>
+        listServices().forEach((row) =>
+          allowance.set({ service: row.service }, row.allowanceShare),
+        ),
+    });
+  }
+
+  #registerMembers({ countMembers }: FigureSource): void {
+    const gauge: Gauge = new Gauge({
+      name: 'baobabline_members',
+      help: 'Members of the fleet by state as this daemon sees them',
+      labelNames: ['state'],
+      registers: [this.registry],
+      collect: () => {
+        gauge.reset();
+        countMembers().forEach((count, state) => gauge.set({ state }, count));
+      },
+    });
+  }
+
+  #registerProcess(): void {
+    this.#registerGauge('baobabline_resident_memory_bytes', 'Resident memory of the process', () =>
+      process.memoryUsage.rss(),
+    );
+    this.#registerGauge('baobabline_cpu_seconds', 'Processor time of the process', () => {
+      const { user, system } = process.cpuUsage();
+      return (user + system) / MICROSECONDS_PER_SECOND;
+    });
+  }
+
+  #registerGauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/metrics/metrics-server.ts
@@ -0,0 +1,39 @@
+/**
+ * The small listener for Prometheus.
+ */
+import { createServer } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
+
+const METRICS_PATH = '/metrics';
+const CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+const OK_STATUS = 200;
+const NOT_FOUND_STATUS = 404;
+const NOT_YET_STATUS = 503;
+
+async function answerMetrics(
+  response: ServerResponse,
+  describe: () => Promise<string | undefined>,
+): Promise<void> {
+  const text = await describe();
+  response.writeHead(text === undefined ? NOT_YET_STATUS : OK_STATUS, {
+    'content-type': CONTENT_TYPE,
+  });
+  response.end(text);
+}
+
+/** Creates the listener; `describe` returns undefined until there are metrics to read. */
+export function createMetricsServer(
+  describe: () => Promise<string | undefined>,
+  onFault: (reason: string) => void,
+): Server {
+  return createServer((message, response) => {
+    if (message.method !== 'GET' || message.url?.split('?')[0] !== METRICS_PATH) {
+      response.writeHead(NOT_FOUND_STATUS).end();
+      return;
+    }
+    answerMetrics(response, describe).catch((error: Error) => {
+      onFault(error.message);
+      response.destroy();
+    });
+  });
+}
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -25,6 +25,7 @@
   WindowAllowanceSettings,
 } from '@baobabline/core';
 
+import type { ServiceFigures, UpstreamCondition } from '../metrics/index.js';
 import type { PeerLoads } from './peer-loads.js';
 import type { UpstreamState } from './upstream-state.js';
 
@@ -140,6 +141,24 @@
     this.#arrivals.recordArrival();
   }
 
+  /** How the service stands, for metrics. */
+  describe(): ServiceFigures {
+    const conditions = this.listUpstreams().map((state) => this.#describeUpstream(state));
+    const count = (wanted: UpstreamCondition): number =>
+      conditions.filter((condition) => condition === wanted).length;
+    return {
+      service: this.name,
+      waiting: this.#line.size,
+      allowanceShare: this.allowance.getShareLeft(),
+      upstreams: {
+        trusted: count('trusted'),
+        suspect: count('suspect'),
+        unreachable: count('unreachable'),
+        leaving: count('leaving'),
+      },
+    };
+  }
+
   /** Chooses an upstream that has room now. */
   choose(needs: PlacementNeeds): PlacementChoice | undefined {
     const { clock, dataCentre, links, random, trust } = this.#ports;
@@ -281,6 +300,14 @@
     return judgeWait(state, limits, this.#ports.random);
   }
 
+  #describeUpstream({ isLeaving, record }: UpstreamState): UpstreamCondition {
+    const { trust, links, clock } = this.#ports;
+    const now = clock.now();
+    if (isLeaving) return 'leaving';
+    if (links.isSuspect(record.id, now)) return 'unreachable';
+    return trust.isSuspect(record.id, now) ? 'suspect' : 'trusted';
+  }
+
   #drop(id: string, state: UpstreamState): void {
     state.pool.close();
     this.#upstreams.delete(id);
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -23,6 +23,12 @@
   maxDirectoryHoldMs: z.number().positive().default(5000),
 });
 
+const machineSchema = z.strictObject({
+  /** Cores, in fractions, that the daemon may use. */
+  cores: z.number().positive().default(1),
+  linkMegabitsPerSecond: z.number().positive().default(1000),
+});
+
 export const gatewaySettingsSchema = z.strictObject({
   id: z.string().min(1),
   dataCentre: z.string().min(1),
@@ -39,7 +45,8 @@
   /** Daemons that are asked first; they may be gone or out of date. */
   seeds: z.array(endpointSchema).default([]),
   bounds: boundsSchema.prefault({}),
-  /** Dispatchers that callers of a data centre are sent to. */
+  machine: machineSchema.prefault({}),
+  /** Dispatchers that callers of a data centre are sent to at least; more as load needs them. */
   dispatchersPerDataCentre: z.int().min(1).default(1),
   /** How long callers keep a directory answer, in seconds. */
   directoryHoldSeconds: z.number().positive().default(1),
