Work out risk, room and peers' loads once for many placements

Cause: with 107 upstreams a placement asked each of them for its risk (an exponential each), filtered all peers for each upstream, and worked the room out anew; a line was tried to its end while only suspects had room.

Behaviour is otherwise the same.

--- a/packages/core/src/placement/choose-upstream.test.ts
+++ b/packages/core/src/placement/choose-upstream.test.ts
@@ -22,7 +22,7 @@
   isRepeatable: false,
   canTryAgain: true,
   mayTest: true,
-  maxRisk: 0.2,
+  computeMaxRisk: () => 0.2,
   dataCentre: 'z1',
   bodyBytes: 0,
 };
@@ -53,9 +53,11 @@
     const risky = buildCandidate('risky', { isSuspect: true, risk: 0.4 });
     const worse = buildCandidate('worse', { isSuspect: true, risk: 0.7 });
     expect(choose(UNSAFE, [full, risky, worse])).to.equal(undefined);
-    expect(choose({ ...UNSAFE, maxRisk: 0.45 }, [full, worse, risky])).to.equal('risky');
+    expect(choose({ ...UNSAFE, computeMaxRisk: () => 0.45 }, [full, worse, risky])).to.equal(
+      'risky',
+    );
     const trusted = buildCandidate('trusted', { inFlight: 2 });
-    expect(choose({ ...UNSAFE, maxRisk: 0.9 }, [trusted, risky])).to.equal('trusted');
+    expect(choose({ ...UNSAFE, computeMaxRisk: () => 0.9 }, [trusted, risky])).to.equal('trusted');
   });
 
   it('sends what may run only once to the upstream proved best, not to the emptiest', () => {
--- a/packages/core/src/placement/choose-upstream.ts
+++ b/packages/core/src/placement/choose-upstream.ts
@@ -33,8 +33,8 @@
   readonly canTryAgain: boolean;
   /** Whether the allowance for repeats bears a test that fails. */
   readonly mayTest: boolean;
-  /** Highest probability of failure that is better than to go on waiting, from 0 to 1. */
-  readonly maxRisk: number;
+  /** Works out the highest probability of failure that is better than to go on waiting, 0 to 1. */
+  readonly computeMaxRisk: () => number;
   readonly dataCentre: string;
   /** Size of the request's body, which crosses data centres with it. */
   readonly bodyBytes: number;
@@ -103,7 +103,9 @@
   const trusted = open.filter(({ isSuspect }) => !isSuspect);
   const best = chooseCheapest(trusted, request, random);
   if (best !== undefined) return { upstreamId: best, reason: 'trusted' };
-  const bearable = open.filter(({ risk }) => risk <= request.maxRisk);
+  if (open.length === 0) return undefined;
+  const maxRisk = request.computeMaxRisk();
+  const bearable = open.filter(({ risk }) => risk <= maxRisk);
   const chance = chooseCheapest(bearable, request, random);
   if (chance !== undefined) return { upstreamId: chance, reason: 'risk-accepted' };
   const allSuspect = candidates.every(({ isSuspect }) => isSuspect);
--- a/packages/core/src/trust/upstream-trust.ts
+++ b/packages/core/src/trust/upstream-trust.ts
@@ -67,8 +67,14 @@
 
 export type TrustChange = 'suspected' | 'trusted';
 
+/** A risk is used again for so long, in milliseconds: beliefs drift over seconds. */
+const RISK_AGE_MS = 20;
+
 type Standing = {
   readonly belief: FailureBelief;
+  /** The risk as computed last, and when. */
+  readonly risk: number;
+  readonly riskAt: number;
   readonly wasLastGood: boolean;
   readonly lastFailureAt: number;
   readonly lastTestAt: number;
@@ -79,8 +85,11 @@
 
   readonly #standings = new Map<string, Standing>();
 
+  readonly #initialRisk: number;
+
   constructor(settings: TrustSettings = DEFAULT_TRUST_SETTINGS) {
     this.#settings = settings;
+    this.#initialRisk = computeRisk(settings.model, createBelief(settings.model, 0));
   }
 
   /** Takes in an outcome; returns what changed, if anything. */
@@ -90,23 +99,29 @@
     // A request that was sent before the last failure was seen shows nothing of what came after.
     if (isGood && at <= known.lastFailureAt) return undefined;
     const wasSuspect = this.#computeRisk(known, at) > trustedRisk;
+    const belief = applyOutcome(model, known.belief, isGood, at);
     const standing = {
-      belief: applyOutcome(model, known.belief, isGood, at),
+      belief,
+      risk: computeRisk(model, belief),
+      riskAt: at,
       wasLastGood: isGood,
       lastFailureAt: isGood ? known.lastFailureAt : Math.max(known.lastFailureAt, at),
       lastTestAt: Math.max(known.lastTestAt, at),
     };
     this.#standings.set(upstreamId, standing);
-    const isSuspect = this.#computeRisk(standing, at) > trustedRisk;
+    const isSuspect = standing.risk > trustedRisk;
     if (isSuspect === wasSuspect) return undefined;
     return isSuspect ? 'suspected' : 'trusted';
   }
 
   /** Probability that the next request to an upstream fails, from 0 to 1. */
   getRisk(upstreamId: string, now: number): number {
-    const { model } = this.#settings;
     const known = this.#standings.get(upstreamId);
-    return known ? this.#computeRisk(known, now) : computeRisk(model, createBelief(model, now));
+    if (!known) return this.#initialRisk;
+    if (Math.abs(now - known.riskAt) < RISK_AGE_MS) return known.risk;
+    const risk = this.#computeRisk(known, now);
+    this.#standings.set(upstreamId, { ...known, risk, riskAt: now });
+    return risk;
   }
 
   isSuspect(upstreamId: string, now: number): boolean {
@@ -138,6 +153,8 @@
   #createStanding(at: number): Standing {
     return {
       belief: createBelief(this.#settings.model, at),
+      risk: this.#initialRisk,
+      riskAt: at,
       wasLastGood: true,
       lastFailureAt: Number.NEGATIVE_INFINITY,
       lastTestAt: Number.NEGATIVE_INFINITY,
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -151,6 +151,7 @@
     this.#isWaiting = true;
     this.#desk.wait({
       ...waiting,
+      isRepeatable: this.#isRepeatable,
       tryPlace: () => this.#tryPlace(),
       onExpired: () => this.#refuse('noCapacity'),
       onHopeless: (retryAfterMs) => this.#refuse('noCapacity', retryAfterMs),
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -54,6 +54,8 @@
 
 /** A request that can be placed once there is room. */
 export type Waiter = WaitingRequest & {
+  /** Whether it may run more than once. */
+  readonly isRepeatable: boolean;
   /** Tries to place the request; returns whether it left the line. */
   readonly tryPlace: () => boolean;
   readonly onExpired: () => void;
@@ -80,6 +82,8 @@
 const JUDGE_INTERVAL_MS = 100;
 /** Until attempts have been seen, in milliseconds. */
 const INITIAL_ATTEMPT_MS = 150;
+/** What there is room for is used again for so long, in milliseconds. */
+const ROOM_AGE_MS = 20;
 /** Weight of the newest attempt in the average. */
 const NEWEST_WEIGHT = 0.05;
 
@@ -98,6 +102,8 @@
 
   #meanAttemptMs = INITIAL_ATTEMPT_MS;
 
+  #room = { at: Number.NEGATIVE_INFINITY, slots: 0 };
+
   #judgedAt = 0;
 
   #poll: NodeJS.Timeout | undefined;
@@ -172,7 +178,8 @@
       {
         ...needs,
         mayTest: this.allowance.getShareLeft() >= MIN_SHARE_FOR_TESTS,
-        maxRisk: computeMaxRisk(this.#computeWaitState(this.#line.size), needs.timeLeftMs),
+        computeMaxRisk: () =>
+          computeMaxRisk(this.#computeWaitState(this.#line.size), needs.timeLeftMs),
         dataCentre,
       },
       candidates,
@@ -207,13 +214,18 @@
     this.#line.remove(id);
   }
 
-  /** Lets waiting requests in as far as there is room. */
+  /**
+   * Lets waiting requests in as far as there is room. Where one finds none, those behind it that
+   * may do the same find none either.
+   */
   serveLine(): void {
-    const now = this.#ports.clock.now();
     if (this.#line.size === 0) return;
-    this.#line.list(now).every((waiter) => {
+    const blocked = new Set<boolean>();
+    this.#line.list(this.#ports.clock.now()).every((waiter) => {
+      if (blocked.has(waiter.isRepeatable)) return true;
       if (waiter.tryPlace()) this.#line.remove(waiter.id);
-      return this.#hasRoom(now);
+      else if (!waiter.isRepeat) blocked.add(waiter.isRepeatable);
+      return blocked.size < 2;
     });
   }
 
@@ -313,12 +325,6 @@
     this.#upstreams.delete(id);
   }
 
-  #hasRoom(now: number): boolean {
-    return this.#listUsable(new Set()).some(
-      (state) => !state.isPaused(now) && this.#countInFlight(state) < state.record.slots,
-    );
-  }
-
   #listUsable(excluded: ReadonlySet<string>): readonly UpstreamState[] {
     return [...this.#upstreams.values()].filter(
       (state) => !state.isLeaving && !excluded.has(state.record.id),
@@ -331,28 +337,28 @@
 
   /** What a request has to expect behind so many others. */
   #computeWaitState(ahead: number): WaitState {
-    const { trust, links, clock } = this.#ports;
-    const now = clock.now();
-    const states = this.#listUsable(new Set());
-    const trusted = states.filter(
-      ({ record }) => !trust.isSuspect(record.id, now) && !links.isSuspect(record.id, now),
-    );
-    const counted = trusted.length > 0 ? trusted : states;
-    const slots = counted.reduce((sum, { record }) => sum + record.slots, 0);
-    const share = this.#computeOwnShare(counted);
+    const now = this.#ports.clock.now();
+    if (now - this.#room.at >= ROOM_AGE_MS) this.#room = { at: now, slots: this.#computeRoom(now) };
     return {
       waiting: ahead,
-      slots: slots * share,
+      slots: this.#room.slots,
       meanAttemptMs: this.#meanAttemptMs,
       arrivalsPerMs: this.#arrivals.getPerMs(),
     };
   }
 
-  /** The part of the room that this dispatcher gets, judged by what it has in flight. */
-  #computeOwnShare(states: readonly UpstreamState[]): number {
-    const own = states.reduce((sum, { inFlight }) => sum + inFlight, 0);
-    const all = states.reduce((sum, state) => sum + this.#countInFlight(state), 0);
-    return all === 0 ? 1 : Math.max(own, 1) / Math.max(all, 1);
+  /** Slots that this dispatcher may count on: its share, by what it has in flight, of the sound. */
+  #computeRoom(now: number): number {
+    const { trust, links } = this.#ports;
+    const states = this.#listUsable(new Set());
+    const trusted = states.filter(
+      ({ record }) => !trust.isSuspect(record.id, now) && !links.isSuspect(record.id, now),
+    );
+    const counted = trusted.length > 0 ? trusted : states;
+    const slots = counted.reduce((sum, { record }) => sum + record.slots, 0);
+    const own = counted.reduce((sum, { inFlight }) => sum + inFlight, 0);
+    const all = counted.reduce((sum, state) => sum + this.#countInFlight(state), 0);
+    return all === 0 ? slots : (slots * Math.max(own, 1)) / Math.max(all, 1);
   }
 
   #buildCandidate(state: UpstreamState, now: number): PlacementCandidate {
