--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  * carries out what the core decides.
  */
 import { LoadLevel, Replica } from '@baobabline/core';
-import type { Changes, RequestError } from '@baobabline/core';
+import type { Changes } from '@baobabline/core';
 import { createLog, createProcessRandom, systemClock } from '@baobabline/daemon';
 import type { Log } from '@baobabline/daemon';
 import type { Server } from 'node:http';
@@ -22,9 +22,10 @@
 import { ChangeWaiters, StoreReader } from './knowledge/index.js';
 import { createMetricsServer, GatewayMetrics } from './metrics/index.js';
 import { createPeerServer } from './peers/index.js';
+import { RequestRecords } from './records/index.js';
 import { DispatcherReports, ReportSocket } from './reports/index.js';
 import type { DispatcherReport } from './reports/index.js';
-import type { RequestEnd, RequestStep, RoutedRequest } from './requests/index.js';
+import type { RequestEnd, RoutedRequest } from './requests/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
 
@@ -43,16 +44,6 @@
 const DAEMON_COUNT = 64;
 const MS_PER_SECOND = 1000;
 
-/** Steps that may explain why a request failed. */
-const FAILED_STEPS: readonly string[] = ['overdue', 'unsent', 'lost', 'invalid', 'caller-gone'];
-const SERVER_ERROR_STATUS = 500;
-
-function isFailedStep({ step, status }: RequestStep): boolean {
-  return (
-    FAILED_STEPS.includes(step) || (typeof status === 'number' && status >= SERVER_ERROR_STATUS)
-  );
-}
-
 export type GatewayPhase = 'joining' | 'serving' | 'leaving' | 'stopped';
 
 export class Gateway {
@@ -91,6 +82,8 @@
 
   readonly #metrics: GatewayMetrics;
 
+  readonly #records: RequestRecords;
+
   readonly #silenceMs: number;
 
   #phase: GatewayPhase = 'joining';
@@ -113,6 +106,11 @@
     this.#reports = this.#createReports();
     this.#callers = this.#createCallers();
     this.#metrics = this.#createMetrics();
+    this.#records = new RequestRecords({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
     this.#load = new LoadLevel(this.#fleet.membership.self.capacity, this.#clock);
   }
 
@@ -247,7 +245,7 @@
       dialect: this.#platform.http,
       replica: this.#replica,
       daemonCount: DAEMON_COUNT,
-      onStep: (request, step) => this.#recordStep(request, step),
+      onStep: (request, step) => this.#records.recordStep(request, step),
       onOutcome: (event) => this.#reports.recordOutcome(event),
       onTrustChange: (upstream, change) => this.#log.info('trust', { upstream, change }),
       onLinkChange: (upstream, change) => this.#log.info('link', { upstream, change }),
@@ -304,14 +302,15 @@
       getRoutes: () => this.#services.routes,
       chooseService: (route) => this.#services.chooseService(route),
       serve: (request, onEnd) => this.#serve(request, onEnd),
-      onRefused: (error, requestId, target) => this.#recordRefusal(error, requestId, target),
+      onRefused: (error, requestId, target) =>
+        this.#records.recordRefusal(error, requestId, target),
     });
   }
 
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): () => void {
     this.#load.recordArrival();
     return this.#services.serve(request, (end) => {
-      this.#metrics.recordEnd(request, end, this.#clock.now() - request.arrivedAt);
+      this.#records.recordEnd(request, end);
       onEnd(end);
     });
   }
@@ -363,21 +362,4 @@
       holdSeconds: Math.min(directoryHoldSeconds, bounds.maxDirectoryHoldMs / MS_PER_SECOND),
     };
   }
-
-  #recordStep(request: RoutedRequest, step: RequestStep): void {
-    this.#metrics.recordStep(request, step, this.#clock.now());
-    const { id, route, service, endAt } = request;
-    if (!this.#log.shouldLogDecision()) return;
-    const timeLeftMs = Math.round(endAt - this.#clock.now());
-    const fields = { request: id, route: route.id, service, timeLeftMs, ...step };
-    this.#log.decision('request', fields, isFailedStep(step) ? 'kept' : 'ordinary');
-  }
-
-  #recordRefusal({ result, message }: RequestError, request: string, target: string): void {
-    this.#metrics.recordRefusal(result.code);
-    if (!this.#log.shouldLogDecision()) return;
-    const { code, outcome } = result;
-    const fields = { request, target, code, outcome, detail: message };
-    this.#log.decision('refused', fields, 'kept');
-  }
 }
