--- a/packages/core/src/dispatchers/choose-dispatchers.ts
+++ b/packages/core/src/dispatchers/choose-dispatchers.ts
@@ -25,6 +25,8 @@
 const START_GRAIN_MS = 2000;
 /** Share of their capacity up to which dispatchers are loaded; a wave may come on top. */
 const FULL_SHARE = 0.7;
+/** Weaker VMs, whose answers take longer, are called on only once the stronger are full. */
+const FULL_SHARE_BEFORE_WEAKER = 1;
 /** Addresses in an answer: one more than needed, for a caller whose first does not answer. */
 const CALLER_CHOICES = 2;
 const HASH_RANGE = 2 ** 32;
@@ -47,7 +49,13 @@
     .sort(compareCandidates);
 }
 
-type Choice<Candidate> = { readonly chosen: readonly Candidate[]; readonly carried: number };
+/** What the chosen carry before a further candidate is called on. */
+function computeCarried(chosen: readonly DispatcherCandidate[], next: DispatcherCandidate): number {
+  const share = chosen.some(({ capacity }) => capacity > next.capacity)
+    ? FULL_SHARE_BEFORE_WEAKER
+    : FULL_SHARE;
+  return chosen.reduce((sum, { capacity }) => sum + capacity * share, 0);
+}
 
 /** Chooses the dispatchers of a data centre, the first in line at the head, `minCount` or more. */
 export function chooseDispatchers<Candidate extends DispatcherCandidate>(
@@ -57,15 +65,10 @@
 ): readonly Candidate[] {
   const ranked = rankDispatchers(candidates, dataCentre);
   const demand = ranked.reduce((sum, { load }) => sum + load, 0);
-  const none: Choice<Candidate> = { chosen: [], carried: 0 };
-  return ranked.reduce<Choice<Candidate>>((choice, candidate) => {
-    const { chosen, carried } = choice;
-    if (chosen.length >= minCount && carried >= demand) return choice;
-    return {
-      chosen: [...chosen, candidate],
-      carried: carried + candidate.capacity * FULL_SHARE,
-    };
-  }, none).chosen;
+  return ranked.reduce<readonly Candidate[]>((chosen, candidate) => {
+    if (chosen.length >= minCount && computeCarried(chosen, candidate) >= demand) return chosen;
+    return [...chosen, candidate];
+  }, []);
 }
 
 /** The dispatchers that callers of a data centre use: their own, or else those of all others. */
