--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -7,6 +7,7 @@
 
 import { CheckError, runCheckLists, runCheckSettings } from './commands/checks.js';
 import { runDaemonCommand } from './commands/daemon.js';
+import { runExplainLog } from './commands/explain-log.js';
 import { runEntries, runExplain, runStatus } from './commands/questions.js';
 
 const EXIT_FAILED = 1;
@@ -77,8 +78,16 @@
       'explain <id>',
       'Show why a request went where it went or was refused',
       (command) =>
-        command.positional('id', { type: 'string', demandOption: true }).options(OPERATOR_OPTIONS),
-      async (args) => run(runExplain(args, args.id)),
+        command
+          .positional('id', { type: 'string', demandOption: true })
+          .options(OPERATOR_OPTIONS)
+          .option('log', {
+            type: 'string',
+            array: true,
+            describe: 'read log files of gateway daemons instead (- is standard input)',
+          }),
+      async ({ id, log, ...target }) =>
+        run(log ? runExplainLog({ id, files: log, json: target.json }) : runExplain(target, id)),
     )
     .demandCommand(1, 'Name a command')
     .strict()
