--- a/packages/experiments/src/bin.ts
+++ b/packages/experiments/src/bin.ts
@@ -19,6 +19,8 @@
 import { LimitsExperiment } from './limits/limits-experiment.js';
 import { OnceExperiment } from './once/once-experiment.js';
 import { PathExperiment } from './path/path-experiment.js';
+import { buildPoliciesSvg } from './policies/draw-policies.js';
+import { PoliciesExperiment } from './policies/policies-experiment.js';
 import { printResult } from './runner/report.js';
 import { SlotsExperiment } from './slots/slots-experiment.js';
 import { StopExperiment } from './stop/stop-experiment.js';
@@ -153,6 +155,21 @@
     },
     (options) => printResult(measureTables(options)),
   )
+  .command(
+    'policies',
+    'Ways of placing requests under gray failures, emulated, side by side',
+    {
+      seed: SEED,
+      seconds: { ...COUNT, default: 120 },
+      requestsPerSecond: { ...COUNT, default: 130 },
+      out: { type: 'string', describe: 'write the plot (SVG) here' },
+    },
+    async ({ out, ...options }) => {
+      const result = new PoliciesExperiment(options).measure();
+      if (out !== undefined) await writeFile(out, buildPoliciesSvg(result));
+      printResult(result);
+    },
+  )
   .demandCommand(1)
   .strict()
   .parseAsync();
