--- a/packages/experiments/src/policies/emulator.ts
+++ b/packages/experiments/src/policies/emulator.ts
@@ -56,6 +56,8 @@
 const MAX_ATTEMPTS = 2;
 /** Time until what one dispatcher has seen reaches the others. */
 const POOL_DELAY_MS = 15;
+/** Under these, upstreams answer that they failed; what does not answer tells of one link alone. */
+const ANSWERING_FAULTS: readonly EmulatedFault[] = ['errors', 'slow', 'shed'];
 /** An attempt without an answer for so long is held against its upstream. */
 const OVERDUE_MS = 600;
 /** A request that may run again is sent elsewhere after so long without an answer. */
@@ -212,9 +214,8 @@
     const isGood = end === 'good';
     const outcome = { upstreamId: String(upstream), isGood, at: isGood ? startedAt : this.#now };
     this.#policies[caller.dispatcher]?.record(outcome);
-    const isPooled =
-      this.#options.isPooled && end !== 'silent' && this.#options.fault !== 'one-link';
-    if (isPooled) {
+    const isAnswered = isGood || ANSWERING_FAULTS.includes(this.#options.fault);
+    if (this.#options.isPooled && isAnswered) {
       const news = { ...outcome, from: caller.dispatcher, dueAt: this.#now + POOL_DELAY_MS };
       this.#news = [...this.#news, news];
     }
