Test upstreams that did not answer less often, say why a request was held to be hopeless

Change: after a failure in silence the next test is 2 s away; a good answer is confirmed at once as before.

Log: a refusal for want of room is preceded by a line with what decided it: requests ahead, slots that the daemon could count on, mean attempt, arrivals. explain tells it.

--- a/packages/cli/src/commands/log-story.ts
+++ b/packages/cli/src/commands/log-story.ts
@@ -54,6 +54,8 @@
   unsent: ({ upstream, reason }) => `${upstream} could not be reached: ${reason}`,
   lost: ({ upstream, reason }) => `the connection to ${upstream} was lost: ${reason}`,
   invalid: ({ upstream, reason }) => `${upstream} sent what is no whole answer: ${reason}`,
+  hopeless: ({ waiting, slots, meanAttemptMs }) =>
+    `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt`,
   'caller-gone': () => 'the caller left',
 };
 
--- a/packages/core/src/trust/upstream-trust.test.ts
+++ b/packages/core/src/trust/upstream-trust.test.ts
@@ -125,6 +125,14 @@
     expect([859, 860].map((at) => trust.isTestDue('u', at))).to.deep.equal([false, true]);
   });
 
+  it('tests an upstream that did not answer less often than one that answered badly', () => {
+    const trust = new UpstreamTrust(SETTINGS);
+    trust.record({ upstreamId: 'u', isGood: false, at: 0, isSilent: true });
+    expect([1999, 2000].map((at) => trust.isTestDue('u', at))).to.deep.equal([false, true]);
+    trust.record({ upstreamId: 'u', isGood: true, at: 2000 });
+    expect([2059, 2060].map((at) => trust.isTestDue('u', at))).to.deep.equal([false, true]);
+  });
+
   it('looks again soon at an upstream that has more likely failed by chance', () => {
     const trust = new UpstreamTrust(SETTINGS);
     recordAll(trust, '++++++-', -600);
--- a/packages/core/src/trust/upstream-trust.ts
+++ b/packages/core/src/trust/upstream-trust.ts
@@ -18,6 +18,8 @@
   readonly testIntervalMs: number;
   /** The same where the last test ended well, or the failure was more likely a single one. */
   readonly confirmIntervalMs: number;
+  /** The same where no answer came: such a test costs its caller the time until it is repeated. */
+  readonly silentIntervalMs: number;
 };
 
 /** From quiet days: spells of 9 to 12 seconds, 25 seconds apart, beside one failure in 80. */
@@ -35,6 +37,7 @@
   trustedRisk: 0.2,
   testIntervalMs: 400,
   confirmIntervalMs: 30,
+  silentIntervalMs: 2000,
 };
 
 /** Links break rarely and then wholly, for seconds; a sound one hardly ever refuses a connection. */
@@ -49,6 +52,7 @@
   trustedRisk: 0.2,
   testIntervalMs: 500,
   confirmIntervalMs: 30,
+  silentIntervalMs: 500,
 };
 
 /** Below this risk a suspect has more likely failed by chance than in a spell. */
@@ -63,6 +67,8 @@
    * latest time at which the upstream was surely sound, and when a failure was seen.
    */
   readonly at: number;
+  /** Whether it failed by not answering; false where absent. */
+  readonly isSilent?: boolean;
 };
 
 export type TrustChange = 'suspected' | 'trusted';
@@ -76,6 +82,7 @@
   readonly risk: number;
   readonly riskAt: number;
   readonly wasLastGood: boolean;
+  readonly wasLastSilent: boolean;
   readonly lastFailureAt: number;
   readonly lastTestAt: number;
 };
@@ -93,7 +100,7 @@
   }
 
   /** Takes in an outcome; returns what changed, if anything. */
-  record({ upstreamId, isGood, at }: TrustEvent): TrustChange | undefined {
+  record({ upstreamId, isGood, at, isSilent = false }: TrustEvent): TrustChange | undefined {
     const { model, trustedRisk } = this.#settings;
     const known = this.#standings.get(upstreamId) ?? this.#createStanding(at);
     // A request that was sent before the last failure was seen shows nothing of what came after.
@@ -105,6 +112,7 @@
       risk: computeRisk(model, belief),
       riskAt: at,
       wasLastGood: isGood,
+      wasLastSilent: isSilent,
       lastFailureAt: isGood ? known.lastFailureAt : Math.max(known.lastFailureAt, at),
       lastTestAt: Math.max(known.lastTestAt, at),
     };
@@ -132,9 +140,7 @@
   isTestDue(upstreamId: string, now: number): boolean {
     const known = this.#standings.get(upstreamId);
     if (!known) return false;
-    const { testIntervalMs, confirmIntervalMs } = this.#settings;
-    const isHopeful = known.wasLastGood || this.#computeRisk(known, now) < HOPEFUL_RISK;
-    return now - known.lastTestAt >= (isHopeful ? confirmIntervalMs : testIntervalMs);
+    return now - known.lastTestAt >= this.#getTestIntervalMs(known, now);
   }
 
   /** Notes that a test is under way. */
@@ -150,12 +156,20 @@
       .forEach((id) => this.#standings.delete(id));
   }
 
+  #getTestIntervalMs(known: Standing, now: number): number {
+    const { testIntervalMs, confirmIntervalMs, silentIntervalMs } = this.#settings;
+    if (known.wasLastSilent) return silentIntervalMs;
+    const isHopeful = known.wasLastGood || this.#computeRisk(known, now) < HOPEFUL_RISK;
+    return isHopeful ? confirmIntervalMs : testIntervalMs;
+  }
+
   #createStanding(at: number): Standing {
     return {
       belief: createBelief(this.#settings.model, at),
       risk: this.#initialRisk,
       riskAt: at,
       wasLastGood: true,
+      wasLastSilent: false,
       lastFailureAt: Number.NEGATIVE_INFINITY,
       lastTestAt: Number.NEGATIVE_INFINITY,
     };
--- a/packages/experiments/src/policies/emulator.ts
+++ b/packages/experiments/src/policies/emulator.ts
@@ -212,7 +212,12 @@
   #handleEnd(attempt: Attempt): void {
     const { caller, end, upstream, startedAt } = attempt;
     const isGood = end === 'good';
-    const outcome = { upstreamId: String(upstream), isGood, at: isGood ? startedAt : this.#now };
+    const outcome = {
+      upstreamId: String(upstream),
+      isGood,
+      at: isGood ? startedAt : this.#now,
+      isSilent: end === 'silent',
+    };
     this.#policies[caller.dispatcher]?.record(outcome);
     const isAnswered = isGood || ANSWERING_FAULTS.includes(this.#options.fault);
     if (this.#options.isPooled && isAnswered) {
@@ -227,7 +232,12 @@
     this.#running
       .filter(({ end, startedAt }) => end === 'silent' && this.#now - startedAt === OVERDUE_MS)
       .forEach(({ caller, upstream }) => {
-        const outcome = { upstreamId: String(upstream), isGood: false, at: this.#now };
+        const outcome = {
+          upstreamId: String(upstream),
+          isGood: false,
+          at: this.#now,
+          isSilent: true,
+        };
         this.#policies[caller.dispatcher]?.record(outcome);
       });
   }
--- a/packages/experiments/src/policies/types.ts
+++ b/packages/experiments/src/policies/types.ts
@@ -18,6 +18,8 @@
   readonly upstreamId: string;
   readonly isGood: boolean;
   readonly at: number;
+  /** Whether it failed by not answering; false where absent. */
+  readonly isSilent?: boolean;
 };
 
 export interface PlacementPolicy {
--- a/packages/gateway/src/records/request-records.ts
+++ b/packages/gateway/src/records/request-records.ts
@@ -15,7 +15,14 @@
 };
 
 /** Steps that may explain why a request failed. */
-const FAILED_STEPS: readonly string[] = ['overdue', 'unsent', 'lost', 'invalid', 'caller-gone'];
+const FAILED_STEPS: readonly string[] = [
+  'overdue',
+  'unsent',
+  'lost',
+  'invalid',
+  'caller-gone',
+  'hopeless',
+];
 const SERVER_ERROR_STATUS = 500;
 
 function isFailedStep({ step, status }: RequestStep): boolean {
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -145,7 +145,7 @@
     const waiting = this.#buildWaiting();
     const verdict = this.#desk.judgeWait(waiting);
     if (verdict.kind === 'refuse') {
-      this.#refuse('noCapacity', verdict.retryAfterMs);
+      this.#refuseHopeless(waiting, verdict.retryAfterMs);
       return;
     }
     this.#isWaiting = true;
@@ -154,11 +154,16 @@
       isRepeatable: this.#isRepeatable,
       tryPlace: () => this.#tryPlace(),
       onExpired: () => this.#refuse('noCapacity'),
-      onHopeless: (retryAfterMs) => this.#refuse('noCapacity', retryAfterMs),
+      onHopeless: (retryAfterMs) => this.#refuseHopeless(waiting, retryAfterMs),
     });
     this.#record({ step: 'waiting', ahead: this.#desk.waitingCount - 1 });
   }
 
+  #refuseHopeless(waiting: WaitingRequest, retryAfterMs: number): void {
+    this.#record({ step: 'hopeless', retryAfterMs, ...this.#desk.describeWait(waiting) });
+    this.#refuse('noCapacity', retryAfterMs);
+  }
+
   #buildWaiting(): WaitingRequest {
     const { id, arrivedAt, endAt, route } = this.#request;
     const usualAttemptMs = this.#ports.times.getMeanMs(route.id);
@@ -218,7 +223,7 @@
     const usual = this.#ports.times.getMeanMs(this.#request.route.id);
     const overdueMs = Math.max(MIN_OVERDUE_MS, usual * OVERDUE_FACTOR);
     return setTimeout(() => {
-      this.#desk.recordSilence(upstreamId);
+      this.#desk.recordNoAnswer(upstreamId, true);
       this.#record({ step: 'overdue', upstream: upstreamId, afterMs: Math.round(overdueMs) });
     }, overdueMs);
   }
@@ -306,7 +311,7 @@
       this.#tryAgainOrFail(true, true);
       return;
     }
-    if (end.kind === 'lost') this.#desk.recordSilence(upstreamId);
+    if (end.kind === 'lost') this.#desk.recordNoAnswer(upstreamId, false);
     else this.#desk.recordAnswer(upstreamId, false, this.#now);
     this.#unknownError ??= createRefusal(end.kind === 'lost' ? 'upstreamLost' : 'answerInvalid');
     this.#tryAgainOrFail(this.#isRepeatable);
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -200,6 +200,11 @@
     return this.#judgeWaiting(request, this.#computeWaitState(ahead));
   }
 
+  /** What a request that would join the line has to expect, for the log. */
+  describeWait(request: WaitingRequest): WaitState {
+    return this.#computeWaitState(this.#line.countAhead(request, this.#ports.clock.now()));
+  }
+
   /** Takes a hedge out of the allowance if enough of it is left. */
   takeHedge(): boolean {
     return this.allowance.getShareLeft() >= MIN_SHARE_FOR_HEDGES && this.allowance.takeRepeat();
@@ -256,12 +261,12 @@
   }
 
   /**
-   * Notes that no answer came. It may be the link from here, so that it says nothing to other
-   * dispatchers, which see for themselves.
+   * Notes that no answer came: in silence, or as the connection was lost. It may be the link from
+   * here, so that it says nothing to other dispatchers, which see for themselves.
    */
-  recordSilence(upstreamId: string): void {
+  recordNoAnswer(upstreamId: string, isSilent: boolean): void {
     const { trust, clock, onTrustChange } = this.#ports;
-    const change = trust.record({ upstreamId, isGood: false, at: clock.now() });
+    const change = trust.record({ upstreamId, isGood: false, at: clock.now(), isSilent });
     if (change) onTrustChange(upstreamId, change);
     this.#upstreams.get(upstreamId)?.pool.closeIdle();
   }
