Answer pipelined requests in order, and pass none on whose answer could not follow

Node's server hands all of them over at once; a planned stop ended the connection with the first answer, so that those behind it had run without an answer (lost), and one that may run once could have been sent again. A malformed request behind a whole one was answered at once, in the place of the answer to the one before it (a test over a raw connection failed first: the 400 came as the answer to r1). A caller that left gave up only the request whose answer was being written.

Change: a line of turns for each connection.

Ruled out: one request after the other, which would let a slow one hold up all behind it.

--- a/packages/gateway/src/edge/caller-server.test.ts
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -16,19 +16,17 @@
 const CONFIGURATION: RoutingConfiguration = {
   version: 1,
   limits: { maxHeaderBytes: 2000, maxBodyBytes: 1000, headerTimeoutMs: 400, idleTimeoutMs: 3000 },
-  routes: [
-    {
-      id: 'r',
-      host: 'h',
-      prefix: '/a/',
-      kind: 'unsafe',
-      parts: [{ service: 's', weight: 1 }],
-      timeoutMs: 1000,
-      targetLatencyMs: 500,
-      maxAttempts: 1,
-      priority: 0,
-    },
-  ],
+  routes: (['unsafe', 'safe'] as const).map((kind) => ({
+    id: kind,
+    host: 'h',
+    prefix: kind === 'unsafe' ? '/a/' : '/safe/',
+    kind,
+    parts: [{ service: 's', weight: 1 }],
+    timeoutMs: 1000,
+    targetLatencyMs: 500,
+    maxAttempts: 1,
+    priority: 0,
+  })),
 };
 
 const dialect: HttpDialect = {
@@ -76,9 +74,12 @@
   let served: RoutedRequest[] = [];
   let cancelled = 0;
   let answers = true;
+  /** Ends requests by their ids, where the test answers them itself. */
+  let ends = new Map<string, (end: RequestEnd) => void>();
 
   beforeEach(async () => {
     served = [];
+    ends = new Map();
     cancelled = 0;
     answers = true;
     const routes = new RouteTable(CONFIGURATION);
@@ -90,6 +91,7 @@
       chooseService: () => 's',
       serve: (request, onEnd) => {
         served = [...served, request];
+        ends.set(request.id, onEnd);
         if (answers) setImmediate(() => onEnd(buildAnswer(request.id)));
         return () => {
           cancelled += 1;
@@ -209,4 +211,114 @@
     expect(served).to.have.length(2);
     expect(socket.readableEnded).to.equal(true);
   });
+
+  describe('with requests sent before the first is answered', () => {
+    function buildRead(id: string): string {
+      return `GET /safe/${id} HTTP/1.1\r\nHost: h\r\nx-id: ${id}\r\n\r\n`;
+    }
+
+    function buildBooking(id: string): string {
+      return `POST /a/${id} HTTP/1.1\r\nHost: h\r\nx-id: ${id}\r\nContent-Length: 0\r\n\r\n`;
+    }
+
+    function listBodies(received: string): readonly string[] {
+      return [...received.matchAll(/\r\n\r\n([a-z0-9]+)(?=HTTP|$)/g)].map(([, body]) => body ?? '');
+    }
+
+    function listServed(): readonly string[] {
+      return served.map(({ id }) => id);
+    }
+
+    function finishRequest(id: string): void {
+      ends.get(id)?.(buildAnswer(id));
+    }
+
+    beforeEach(() => {
+      answers = false;
+    });
+
+    it('answers in the order in which they were sent, however late the first is', async () => {
+      const { socket, read } = connectRaw();
+      socket.write(buildRead('r1') + buildRead('r2') + buildRead('r3'));
+      await waitUntil(() => served.length === 3);
+      ['r3', 'r2'].forEach(finishRequest);
+      await wait(SETTLE_MS);
+      expect(read()).to.equal('');
+      finishRequest('r1');
+      await waitUntil(() => listBodies(read()).length === 3);
+      expect(listBodies(read())).to.deep.equal(['r1', 'r2', 'r3']);
+      socket.destroy();
+    });
+
+    it('passes on what may run once only when nothing is before it', async () => {
+      const { socket } = connectRaw();
+      socket.write(buildRead('r1') + buildBooking('b1') + buildRead('r2'));
+      await wait(SETTLE_MS);
+      expect(listServed()).to.deep.equal(['r1']);
+      finishRequest('r1');
+      await waitUntil(() => served.length === 2);
+      expect(listServed()).to.deep.equal(['r1', 'b1']);
+      socket.destroy();
+    });
+
+    it('passes nothing on behind the answer that ends the connection in a planned stop', async () => {
+      const { socket, read } = connectRaw();
+      socket.write(buildRead('r1') + buildRead('r2') + buildBooking('b1'));
+      await waitUntil(() => served.length === 2);
+      server.startLeaving();
+      socket.write(buildRead('r3'));
+      await wait(SETTLE_MS);
+      ['r1', 'r2'].forEach(finishRequest);
+      await waitUntil(() => socket.readableEnded);
+      expect(listBodies(read())).to.deep.equal(['r1', 'r2']);
+      expect(read().match(/Connection: close/g)).to.have.length(1);
+      expect(listServed()).to.deep.equal(['r1', 'r2']);
+      expect(server.openRequests).to.equal(0);
+    });
+
+    it('answers what came before bytes that are no request, and sends nothing else', async () => {
+      const { socket, read } = connectRaw();
+      socket.write(`${buildRead('r1')}NO REQUEST AT ALL\r\n\r\n`);
+      await waitUntil(() => served.length === 1);
+      await wait(SETTLE_MS);
+      expect(read()).to.equal('');
+      finishRequest('r1');
+      await waitUntil(() => socket.readableEnded);
+      expect(listBodies(read())).to.deep.equal(['r1']);
+      expect(read()).not.to.include('400');
+    });
+
+    it('gives all of them up when the caller leaves', async () => {
+      await sendRaw(buildRead('r1') + buildRead('r2') + buildBooking('b1'));
+      await waitUntil(() => cancelled === 2);
+      expect(listServed()).to.deep.equal(['r1', 'r2']);
+      expect(server.openRequests).to.equal(0);
+    });
+
+    it('keeps answers and requests together, however they are cut into pieces', async () => {
+      answers = true;
+      const names = ['r1', 'b1', 'r2', 'r3', 'b2', 'r4'];
+      const text = names
+        .map((name) => (name.startsWith('r') ? buildRead(name) : buildBooking(name)))
+        .join('');
+      const sizes = [1, 7, 33, 64, 200];
+      await sizes.reduce(async (before, size) => {
+        await before;
+        served = [];
+        const { socket, read } = connectRaw();
+        const pieces = text.match(new RegExp(`[\\s\\S]{1,${size}}`, 'g')) ?? [];
+        await pieces.reduce(async (previous, piece) => {
+          await previous;
+          socket.write(piece);
+          await new Promise((resolve) => {
+            setImmediate(resolve);
+          });
+        }, Promise.resolve());
+        await waitUntil(() => listBodies(read()).length === names.length);
+        expect(listBodies(read())).to.deep.equal(names);
+        expect(listServed()).to.deep.equal(names);
+        socket.destroy();
+      }, Promise.resolve());
+    });
+  });
 });
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -14,6 +14,8 @@
 import { readBody } from '../http/index.js';
 import { listOnwardHeaders } from '../requests/index.js';
 import type { RequestEnd, RoutedRequest } from '../requests/index.js';
+import { Pipeline } from './pipeline.js';
+import type { PipelineTurn } from './pipeline.js';
 import { writeAnswer, writeRefusal } from './write-answer.js';
 
 export type CallerPorts = {
@@ -48,11 +50,26 @@
     .length;
 }
 
+/** One request on its connection. */
+type CallerExchange = {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly pipeline: Pipeline;
+  readonly turn: PipelineTurn;
+  /** Run once the answer is out, or the caller gone. */
+  readonly endings: (() => void)[];
+};
+
+/** A request that is being served. */
+type Serving = { readonly cancel: () => void };
+
 export class CallerServer {
   readonly #ports: CallerPorts;
 
   readonly #server: Server;
 
+  readonly #pipelines = new WeakMap<Socket, Pipeline>();
+
   #openRequests = 0;
 
   #heldBytes = 0;
@@ -95,7 +112,7 @@
     this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
   }
 
-  /** From now on every answer ends its connection. */
+  /** From now on every answer ends its connection, unless others have to follow it. */
   startLeaving(): void {
     this.#isLeaving = true;
   }
@@ -111,18 +128,36 @@
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     this.#openRequests += 1;
-    response.once('close', () => {
+    const pipeline = this.#getPipeline(message.socket);
+    const endings: (() => void)[] = [];
+    const handleEnd = (): void => {
+      endings.splice(0).forEach((end) => end());
+    };
+    const turn = pipeline.add({ isWhole: () => message.complete, onGone: handleEnd });
+    endings.push(() => {
       this.#openRequests -= 1;
+      pipeline.finish(turn);
     });
-    if (this.#isLeaving) response.shouldKeepAlive = false;
+    // An answer that waits for its turn sees nothing of the end of its connection.
+    response.once('close', handleEnd);
+    const exchange: CallerExchange = { message, response, pipeline, turn, endings };
     const head = this.#ports.dialect.readCallerHead(message.headers);
     const id = head.requestId ?? 'none';
     const refusal = this.#checkHead(message);
     if (refusal) {
-      this.#refuse(message, response, refusal, id);
+      this.#refuse(exchange, refusal, id);
       return;
     }
-    this.#readWhole(message, response, id, head.timeAllowedMs ?? DEFAULT_TIME_ALLOWED_MS);
+    this.#readWhole(exchange, id, head.timeAllowedMs ?? DEFAULT_TIME_ALLOWED_MS);
+  }
+
+  #getPipeline(socket: Socket): Pipeline {
+    const known = this.#pipelines.get(socket);
+    if (known) return known;
+    const pipeline = new Pipeline(() => this.#isLeaving);
+    this.#pipelines.set(socket, pipeline);
+    socket.once('close', () => pipeline.handleGone());
+    return pipeline;
   }
 
   #checkHead(message: IncomingMessage): RequestError | undefined {
@@ -141,23 +176,31 @@
     return undefined;
   }
 
-  #readWhole(
-    message: IncomingMessage,
-    response: ServerResponse,
-    id: string,
-    timeAllowedMs: number,
-  ): void {
+  #readWhole(exchange: CallerExchange, id: string, timeAllowedMs: number): void {
+    const { message, pipeline, turn } = exchange;
     const arrivedAt = this.#ports.clock.now();
     const maxBytes = this.#ports.getRoutes()?.configuration.limits.maxBodyBytes ?? 0;
     readBody(message, maxBytes, (body) => {
       if (body.kind === 'cut') return;
       if (body.kind === 'too-large') {
-        this.#refuse(message, response, createRefusal('bodyTooLarge'), id);
+        this.#refuse(exchange, createRefusal('bodyTooLarge'), id);
         return;
       }
       const request = this.#buildRequest(message, { id, arrivedAt, timeAllowedMs, body });
-      if (request) this.#serve(request, message, response);
-      else this.#refuse(message, response, createRefusal('noRoute'), id);
+      if (!request) {
+        this.#refuse(exchange, createRefusal('noRoute'), id);
+        return;
+      }
+      this.#heldBytes += request.bodyBytes;
+      const mayOverlap = request.route.kind === 'safe';
+      let serving: Serving | undefined;
+      exchange.endings.push(() => {
+        this.#heldBytes -= request.bodyBytes;
+        serving?.cancel();
+      });
+      pipeline.setReady(turn, mayOverlap, () => {
+        serving = this.#serve(request, exchange);
+      });
     });
   }
 
@@ -196,35 +239,44 @@
     };
   }
 
-  #serve(request: RoutedRequest, message: IncomingMessage, response: ServerResponse): void {
-    this.#heldBytes += request.bodyBytes;
+  #serve(request: RoutedRequest, exchange: CallerExchange): Serving {
+    const { response } = exchange;
     let isEnded = false;
-    const cancel = this.#ports.serve(request, (end) => {
+    const giveUp = this.#ports.serve(request, (end) => {
       isEnded = true;
-      this.#heldBytes -= request.bodyBytes;
-      if (end.kind === 'answered') writeAnswer(response, end.answer);
-      else this.#refuse(message, response, end.error, request.id);
-    });
-    response.once('close', () => {
-      if (isEnded) return;
-      this.#heldBytes -= request.bodyBytes;
-      cancel();
+      if (end.kind === 'refused') this.#refuse(exchange, end.error, request.id);
+      else {
+        this.#closeWhereLast(exchange);
+        writeAnswer(response, end.answer);
+      }
     });
+    return {
+      cancel: () => {
+        if (!isEnded) giveUp();
+      },
+    };
   }
 
-  #refuse(
-    message: IncomingMessage,
-    response: ServerResponse,
-    error: RequestError,
-    id: string,
-  ): void {
+  #refuse(exchange: CallerExchange, error: RequestError, id: string): void {
+    const { message, response } = exchange;
     this.#ports.onRefused(error, id, message.url ?? '');
     dropBody(message);
+    this.#closeWhereLast(exchange);
     writeRefusal(response, error, id);
   }
 
+  #closeWhereLast({ response, pipeline, turn }: CallerExchange): void {
+    if (pipeline.isEndedBy(turn)) response.shouldKeepAlive = false;
+  }
+
   #refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
     if (!socket.writable) return;
+    const pipeline = this.#pipelines.get(socket);
+    if (pipeline?.isAnswering) {
+      // Anything written now would be taken for the answer to a request before it.
+      pipeline.stop();
+      return;
+    }
     const name = error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest';
     const refusal = createRefusal(
       error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 'requestTooSlow' : name,
