Place near first, look at far upstreams only where they could be better

Change: a far upstream costs nine tenths of a slot share, so that a near one with a free slot goes first unless a far one is more than a tenth less likely to fail. The near ones are looked at alone where their best is below that, which no far one can beat. Suspects are tested by the dispatchers of their own data centre, by others only where it has none.

--- a/packages/core/src/placement/choose-upstream.ts
+++ b/packages/core/src/placement/choose-upstream.ts
@@ -7,7 +7,8 @@
  * is refused is as lost as one that fails. Safe requests test the suspects, some time apart, and use
  * their room where the trusted have none and a failure could still be repeated. Among the trusted
  * the one with the most free room wins, and for what may run only once the least risk; an upstream
- * of the own data centre goes before one that is farther.
+ * of the own data centre goes before one that is farther, since bytes between data centres cost the
+ * users money.
  */
 import type { RandomSource } from '../runtime/index.js';
 
@@ -45,8 +46,11 @@
   readonly reason: 'trusted' | 'test' | 'risk-accepted' | 'suspect-with-room' | 'all-suspect';
 };
 
-/** In shares of an upstream's slots: how much fuller a near upstream may be than a far one. */
-const FAR_PENALTY = 0.6;
+/**
+ * In shares of an upstream's slots: how much fuller a near upstream may be than a far one. A near one
+ * with a free slot goes first, unless a far one is much less likely to fail.
+ */
+const FAR_PENALTY = 0.9;
 /** Body bytes that weigh as much as all slots of an upstream: large bodies stay near. */
 const FAR_BODY_BYTES = 40_000;
 /** How much fuller a warm upstream may be than one that has just started. */
@@ -70,17 +74,40 @@
   return candidate.inFlight / candidate.slots + risk + far + cold + random.next() * TIE_SPREAD;
 }
 
+type Priced = { readonly id: string; readonly cost: number };
+
+function findCheapest(
+  candidates: readonly PlacementCandidate[],
+  request: PlacementRequest,
+  random: RandomSource,
+): Priced | undefined {
+  return candidates.reduce<Priced | undefined>((best, candidate) => {
+    const cost = computeCost(candidate, request, random);
+    return best && best.cost <= cost ? best : { id: candidate.id, cost };
+  }, undefined);
+}
+
 function chooseCheapest(
   candidates: readonly PlacementCandidate[],
   request: PlacementRequest,
   random: RandomSource,
 ): string | undefined {
-  const costs = candidates.map(({ id, ...rest }) => ({
-    id,
-    cost: computeCost({ id, ...rest }, request, random),
-  }));
-  if (costs.length === 0) return undefined;
-  return costs.reduce((best, row) => (row.cost < best.cost ? row : best)).id;
+  return findCheapest(candidates, request, random)?.id;
+}
+
+function mayTestWith({ isRepeatable, canTryAgain, mayTest }: PlacementRequest): boolean {
+  return isRepeatable && canTryAgain && mayTest;
+}
+
+function chooseTest(
+  request: PlacementRequest,
+  open: readonly PlacementCandidate[],
+  random: RandomSource,
+): PlacementChoice | undefined {
+  if (!mayTestWith(request)) return undefined;
+  const due = open.filter((one) => one.isSuspect && one.isTestDue);
+  const upstreamId = chooseCheapest(due, request, random);
+  return upstreamId === undefined ? undefined : { upstreamId, reason: 'test' };
 }
 
 function hasRoom({ inFlight, slots }: PlacementCandidate): boolean {
@@ -94,11 +121,8 @@
   random: RandomSource,
 ): PlacementChoice | undefined {
   const open = candidates.filter(hasRoom);
-  const mayFail = request.isRepeatable && request.canTryAgain;
-  const mayTest = mayFail && request.mayTest;
-  const due = open.filter((one) => one.isSuspect && one.isTestDue);
-  const test = mayTest ? chooseCheapest(due, request, random) : undefined;
-  if (test !== undefined) return { upstreamId: test, reason: 'test' };
+  const test = chooseTest(request, open, random);
+  if (test) return test;
   const trusted = open.filter(({ isSuspect }) => !isSuspect);
   const best = chooseCheapest(trusted, request, random);
   if (best !== undefined) return { upstreamId: best, reason: 'trusted' };
@@ -108,8 +132,27 @@
   const chance = chooseCheapest(bearable, request, random);
   if (chance !== undefined) return { upstreamId: chance, reason: 'risk-accepted' };
   const allSuspect = candidates.every(({ isSuspect }) => isSuspect);
-  if (!allSuspect && !mayTest) return undefined;
+  if (!allSuspect && !mayTestWith(request)) return undefined;
   const last = chooseCheapest(open, request, random);
   if (last === undefined) return undefined;
   return { upstreamId: last, reason: allSuspect ? 'all-suspect' : 'suspect-with-room' };
 }
+
+/**
+ * Chooses like `chooseUpstream`, from the near upstreams alone where no far one could be better: a
+ * service may have hundreds, most of them in other data centres.
+ */
+export function chooseNearFirst(
+  request: PlacementRequest,
+  near: readonly PlacementCandidate[],
+  listAll: () => readonly PlacementCandidate[],
+  random: RandomSource,
+): PlacementChoice | undefined {
+  const open = near.filter(hasRoom);
+  const test = chooseTest(request, open, random);
+  if (test) return test;
+  const trusted = open.filter(({ isSuspect }) => !isSuspect);
+  const best = findCheapest(trusted, request, random);
+  if (best && best.cost <= FAR_PENALTY) return { upstreamId: best.id, reason: 'trusted' };
+  return chooseUpstream(request, listAll(), random);
+}
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,2 +1,2 @@
-export { chooseUpstream } from './choose-upstream.js';
+export { chooseNearFirst, chooseUpstream } from './choose-upstream.js';
 export type { PlacementCandidate, PlacementChoice, PlacementRequest } from './choose-upstream.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -272,6 +272,7 @@
       dialect: this.#platform.http,
       replica: this.#replica,
       daemonCount: DAEMON_COUNT,
+      hasDispatcher: (dataCentre) => this.#fleet.roster.listDispatchers(dataCentre).length > 0,
       onStep: (request, step) => this.#records.recordStep(request, step),
       onOutcome: (event) => this.#reports.recordOutcome(event),
       onTrustChange: (upstream, change) => this.#log.info('trust', { upstream, change }),
--- a/packages/gateway/src/requests/service-desk.ts
+++ b/packages/gateway/src/requests/service-desk.ts
@@ -4,7 +4,7 @@
  */
 import {
   ArrivalRate,
-  chooseUpstream,
+  chooseNearFirst,
   computeMaxRisk,
   judgeWait,
   WaitingLine,
@@ -38,6 +38,8 @@
   readonly links: UpstreamTrust;
   readonly peerLoads: PeerLoads;
   readonly dataCentre: string;
+  /** Whether callers are sent to a daemon of a data centre. */
+  readonly hasDispatcher: (dataCentre: string) => boolean;
   readonly allowance: WindowAllowanceSettings;
   readonly createUpstream: (record: RegisteredUpstream) => UpstreamState;
   /** Called with each answer that this dispatcher has judged. */
@@ -167,14 +169,9 @@
 
   /** Chooses an upstream that has room now. */
   choose(needs: PlacementNeeds): PlacementChoice | undefined {
-    const { clock, dataCentre, links, random, trust } = this.#ports;
+    const { clock, dataCentre, random, trust } = this.#ports;
     const now = clock.now();
-    const open = this.#listUsable(needs.excluded).filter((state) => !state.isPaused(now));
-    const reached = open.filter(({ record }) => !links.isSuspect(record.id, now));
-    const candidates = (reached.length > 0 ? reached : open).map((state) =>
-      this.#buildCandidate(state, now),
-    );
-    const choice = chooseUpstream(
+    const choice = chooseNearFirst(
       {
         ...needs,
         mayTest: this.allowance.getShareLeft() >= MIN_SHARE_FOR_TESTS,
@@ -182,7 +179,8 @@
           computeMaxRisk(this.#computeWaitState(this.#line.size), needs.timeLeftMs),
         dataCentre,
       },
-      candidates,
+      this.#listCandidates(needs, now, true),
+      () => this.#listCandidates(needs, now, false),
       random,
     );
     if (choice?.reason === 'test') trust.recordTest(choice.upstreamId, now);
@@ -367,6 +365,30 @@
     return all === 0 ? slots : (slots * Math.max(own, 1)) / Math.max(all, 1);
   }
 
+  /** Upstreams that a request may go to now: the near ones alone, or all. */
+  #listCandidates(
+    { excluded }: PlacementNeeds,
+    now: number,
+    isNearOnly: boolean,
+  ): readonly PlacementCandidate[] {
+    const { dataCentre, links } = this.#ports;
+    const open = [...this.#upstreams.values()].filter(
+      (state) =>
+        (!isNearOnly || state.record.dataCentre === dataCentre) &&
+        !state.isLeaving &&
+        !excluded.has(state.record.id) &&
+        !state.isPaused(now),
+    );
+    const reached = open.filter(({ record }) => !links.isSuspect(record.id, now));
+    const usable = reached.length > 0 || isNearOnly ? reached : open;
+    return usable.map((state) => this.#buildCandidate(state, now));
+  }
+
+  /** Each data centre tests its own suspects, so that one test counts for all. */
+  #mayTestFromHere({ dataCentre }: RegisteredUpstream): boolean {
+    return dataCentre === this.#ports.dataCentre || !this.#ports.hasDispatcher(dataCentre);
+  }
+
   #buildCandidate(state: UpstreamState, now: number): PlacementCandidate {
     const { trust } = this.#ports;
     const { id, dataCentre, slots } = state.record;
@@ -379,7 +401,7 @@
       inFlight: this.#countInFlight(state),
       risk,
       isSuspect,
-      isTestDue: isSuspect && trust.isTestDue(id, now),
+      isTestDue: isSuspect && this.#mayTestFromHere(state.record) && trust.isTestDue(id, now),
       warmUpMs: Math.max(0, state.warmUntil - now),
     };
   }
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -34,6 +34,8 @@
   readonly replica: Replica;
   /** Daemons that may exist, among which the slack of the retry allowance is divided. */
   readonly daemonCount: number;
+  /** Whether callers are sent to a daemon of a data centre. */
+  readonly hasDispatcher: (dataCentre: string) => boolean;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
   /** Called with what other dispatchers should know of an upstream. */
   readonly onOutcome: (event: TrustEvent) => void;
@@ -178,6 +180,7 @@
       links: this.#links,
       peerLoads: this.#peerLoads,
       dataCentre: settings.dataCentre,
+      hasDispatcher: this.#ports.hasDispatcher,
       allowance: {
         ratio: retryRatio,
         fleetSlack: retrySlack,
