Give up upstreams whose bytes have no end, and take no unnamed answer on a used connection

Change: beside the body of its answer an upstream may send one megabyte a request; more makes the answer invalid at once, the connection is closed and the upstream loses trust. An answer without an id counts only on a connection that has carried no other request.

Ruled out: a bound on lines alone, as endless short lines and whole foreign answers pass it.

--- a/packages/gateway/src/upstreams/upstream-connection.test.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.test.ts
@@ -187,4 +187,71 @@
     });
     expect((await ask(refused, 'r1')).kind).to.equal('unsent');
   });
+
+  describe('whose bytes have no end', () => {
+    const HEAD = 'HTTP/1.1 200 OK\r\nx-id: r1\r\n';
+    const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
+    /** More than any part that is no body may take, and less than a second of a fast link. */
+    const MAX_TAKEN_BYTES = 8 * 1024 * 1024;
+    const PIECE_BYTES = 16 * 1024;
+
+    /** Sends the piece again and again until the other side closes; counts what it took. */
+    async function countTaken(start: string, piece: string): Promise<readonly [string, number]> {
+      let taken = 0;
+      const repeated = piece.repeat(Math.ceil(PIECE_BYTES / piece.length));
+      script = (socket) => {
+        script = () => undefined;
+        const pour = (): void => {
+          if (socket.destroyed || taken > 2 * MAX_TAKEN_BYTES) return;
+          taken += repeated.length;
+          if (socket.write(repeated)) setImmediate(pour);
+          else socket.once('drain', pour);
+        };
+        socket.write(start);
+        pour();
+      };
+      const end = await ask(connect(), 'r1');
+      await settle();
+      return [end.kind, taken];
+    }
+
+    const endless: readonly (readonly [string, string, string])[] = [
+      ['a status line', 'HTTP/1.1 200 ', 'x'],
+      ['one header', `${HEAD}X-Long: `, 'x'],
+      ['header after header', HEAD, 'X-A: 1\r\n'],
+      ['a folded header', `${HEAD}X-A: 1\r\n`, ' more\r\n'],
+      ['interim answers', '', 'HTTP/1.1 100 Continue\r\n\r\n'],
+      ['answers to requests of others', '', formatAnswer('other', 'body')],
+      ['the size of a chunk', CHUNKED, '0'],
+      ['the extension of a chunk', `${CHUNKED}5;a=`, 'x'],
+      ['trailers', `${CHUNKED}5\r\nhello\r\n0\r\n`, 'X-T: 1\r\n'],
+      ['one trailer', `${CHUNKED}5\r\nhello\r\n0\r\nX-T: `, 'x'],
+      ['a body without a length', `${HEAD}Connection: close\r\n\r\n`, 'body'],
+      ['a body in chunks', CHUNKED, '4\r\nbody\r\n'],
+      ['no lines at all', '', '\r\n'],
+      ['bytes that are no HTTP', '', '\0\u0001\u0002'],
+    ];
+
+    endless.forEach(([name, start, piece]) => {
+      it(`gives up ${name}`, async () => {
+        const [kind, taken] = await countTaken(start, piece);
+        expect(kind).to.equal('invalid');
+        expect(taken).to.be.lessThan(MAX_TAKEN_BYTES);
+      });
+    });
+  });
+
+  it('takes no answer without an id where one to an earlier request may still come', async () => {
+    script = (socket, received) => {
+      const id = /x-id: (\S+)/.exec(received)?.[1] ?? '';
+      socket.write(
+        id === 'r1' ? formatAnswer(id, 'first') : 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst',
+      );
+    };
+    const connection = connect();
+    expect((await ask(connection, 'r1')).kind).to.equal('answered');
+    await settle();
+    expect((await ask(connection, 'r2')).kind).to.equal('invalid');
+    expect((await ask(connect(), 'r3')).kind).to.equal('answered');
+  });
 });
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -24,6 +24,11 @@
   readonly onClosed: (connection: UpstreamConnection) => void;
 };
 
+/**
+ * Bytes beside the body of the answer that an upstream may send for one request: heads, framing,
+ * trailers, and late answers to earlier requests.
+ */
+const MAX_OVERHEAD_BYTES = 1024 * 1024;
 /** An empty line, which means nothing to a server that has ended its side. */
 const PROBE = '\r\n';
 
@@ -74,6 +79,12 @@
 
   #bodyBytes = 0;
 
+  /** Bytes received since the request was sent. */
+  #receivedBytes = 0;
+
+  /** Whether an answer was taken before, so that a second copy of it may come. */
+  #wasUsed = false;
+
   #hadError = false;
 
   #idleSince: number;
@@ -119,6 +130,8 @@
   send(request: ExchangeRequest, onEnd: EndHandler): void {
     this.#exchange = { request, onEnd };
     this.#wasWritten = false;
+    this.#receivedBytes = 0;
+    this.#bodyBytes = 0;
     this.#parser.expectAnswer();
     if (this.#isConnected) this.#write(request);
   }
@@ -169,17 +182,29 @@
       this.close();
       return;
     }
+    this.#receivedBytes += chunk.length;
     const fault = this.#parser.parse(chunk);
     if (fault) this.#closeWith({ kind: 'invalid', reason: fault.message });
     else if (this.#parser.hasExtraBytes) this.close();
+    else if (this.#countOverhead() > MAX_OVERHEAD_BYTES) {
+      this.#closeWith({ kind: 'invalid', reason: 'bytes without end that are no answer' });
+    }
+  }
+
+  #countOverhead(): number {
+    return this.#receivedBytes - (this.#collected?.isOurs ? this.#bodyBytes : 0);
   }
 
   #handleHead(head: ResponseHead): boolean {
     const isInterim = head.status < 200;
     const headerMap = buildHeaderMap(head.headers);
     const { requestId } = this.#ports.dialect.readAnswerHead(head.status, headerMap);
-    const isOurs = requestId === undefined || requestId === this.#exchange?.request.requestId;
+    const isUnnamed = requestId === undefined;
+    const isOurs = isUnnamed || requestId === this.#exchange?.request.requestId;
     this.#collected = { head, headerMap, isOurs, isInterim };
+    if (isUnnamed && !isInterim && this.#wasUsed) {
+      this.#closeWith({ kind: 'invalid', reason: 'the answer may be one to an earlier request' });
+    }
     this.#chunks = [];
     this.#bodyBytes = 0;
     return isInterim || this.#exchange?.request.method === 'HEAD';
@@ -208,6 +233,7 @@
   #finish({ onEnd }: Exchange, { head, headerMap }: Collected): void {
     const answerHead = this.#ports.dialect.readAnswerHead(head.status, headerMap);
     this.#exchange = undefined;
+    this.#wasUsed = true;
     this.#idleSince = this.#ports.now();
     this.#keepAliveMs = answerHead.keepAliveMs;
     const isLeaving = String(headerMap.connection ?? '')
