Outlive datagrams that no handler expects

Cause: news whose row of an upstream had the right shape but a port out of its range threw in the socket's handler, which would have ended the process (a test with such a row and one with a handler that throws failed first). Change: a handler that throws costs its datagram and a log line; a row out of range names no upstream. Ruled out: a check of random bytes alone, which never reached that row.

--- a/packages/gateway/src/datagrams/fleet-socket.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.ts
@@ -77,6 +77,11 @@
     const tag = TAGS[datagram[0] ?? TAGS.length];
     const handler = tag === undefined ? undefined : this.#handlers.get(tag);
     const body = datagram.length > 1 ? datagram.subarray(1) : NO_BODY;
-    if (!handler?.(body, address)) this.#ports.onFault(`a datagram from ${address} says nothing`);
+    try {
+      if (!handler?.(body, address)) this.#ports.onFault(`a datagram from ${address} says nothing`);
+    } catch (error) {
+      // One datagram must not take the process down, whatever it holds.
+      this.#ports.onFault(`a datagram from ${address}: ${(error as Error).message}`);
+    }
   }
 }
--- a/packages/gateway/src/knowledge/messages.ts
+++ b/packages/gateway/src/knowledge/messages.ts
@@ -62,9 +62,10 @@
   return [id, service, address, port, dataCentre, slots, state === 'draining', warmUpMs, bornAt];
 }
 
+/** Reads a row; undefined, which names no upstream, where a field is out of its range. */
 function parseUpstream(row: UpstreamRow): KnownRecord['upstream'] {
   const [id, service, address, port, dataCentre, slots, isDraining, warmUpMs, bornAt] = row;
-  return registeredUpstreamSchema.parse({
+  return registeredUpstreamSchema.safeParse({
     id,
     service,
     address,
@@ -74,7 +75,7 @@
     state: isDraining ? 'draining' : 'ready',
     warmUpMs,
     bornAt,
-  });
+  }).data;
 }
 
 export function formatPoll({ id, revision, wantsPush, isCutOff }: Poll): Buffer {
--- a/packages/gateway/src/upstreams/upstream-connection.test.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.test.ts
@@ -245,7 +245,9 @@
     script = (socket, received) => {
       const id = /x-id: (\S+)/.exec(received)?.[1] ?? '';
       socket.write(
-        id === 'r1' ? formatAnswer(id, 'first') : 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst',
+        id === 'r1'
+          ? formatAnswer(id, 'first')
+          : 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst',
       );
     };
     const connection = connect();
