Ask more and more daemons to read while the store turns them away

Change: a reader without the store asks two daemons at once, and two more each 300 ms while nobody vouches, twelve at most; it goes on following the one that the store answered. A test replays a store that answers only the eighth.

--- a/packages/core/src/knowledge/freshness.test.ts
+++ b/packages/core/src/knowledge/freshness.test.ts
@@ -57,4 +57,15 @@
     });
     expect(Math.max(...readers)).to.equal(0);
   });
+
+  it('asks more and more helpers while the store turns each of them away', () => {
+    // Of ten daemons behind a reader the store answers only the eighth.
+    const reader = new Freshness('vm-0');
+    reader.recordClaim({ ageMs: 0, sourceId: 'vm-0 before' }, 0);
+    const asked = [0, 400, 800, 1200, 1600].map((awayMs) => reader.countHelpers(awayMs, awayMs));
+    expect(asked[0]).to.equal(2);
+    expect(Math.max(...asked)).to.be.within(8, 12);
+    reader.recordClaim({ ageMs: 10, sourceId: 'vm-8' }, 1600);
+    expect(reader.countHelpers(1700, 1700)).to.equal(2);
+  });
 });
--- a/packages/core/src/knowledge/freshness.ts
+++ b/packages/core/src/knowledge/freshness.ts
@@ -16,6 +16,12 @@
   readonly rankStepMs: number;
   /** Ranks beyond this one read together with it, spread by chance. */
   readonly lastRank: number;
+  /** Daemons that a reader asks to read as soon as the store does not answer it. */
+  readonly firstHelpers: number;
+  /** How long the asked ones may take before as many more are asked, in milliseconds. */
+  readonly helpStepMs: number;
+  /** Most daemons of a data centre that are asked: beyond that the store is down. */
+  readonly mostHelpers: number;
 };
 
 /**
@@ -26,6 +32,9 @@
   firstReadMs: 1300,
   rankStepMs: 150,
   lastRank: 6,
+  firstHelpers: 2,
+  helpStepMs: 300,
+  mostHelpers: 12,
 };
 
 /** What a peer says of its records. */
@@ -70,11 +79,27 @@
     return { ageMs: now - at, sourceId: isOwn ? this.#selfId : this.#heard.sourceId };
   }
 
+  /** The daemon that had read the store when peers last vouched for the records. */
+  get sourceId(): string {
+    return this.#heard.sourceId;
+  }
+
   /** Milliseconds since peers last vouched for the records. */
   getHeardAgeMs(now: number): number {
     return now - this.#heard.at;
   }
 
+  /**
+   * How many daemons a reader asks to read that the store has not answered for `awayMs`: more and
+   * more while none of them vouches for the records, since the store may turn many away.
+   */
+  countHelpers(now: number, awayMs: number): number {
+    const { firstHelpers, helpStepMs, mostHelpers } = this.#settings;
+    const steps = Math.floor(Math.min(awayMs, this.getHeardAgeMs(now)) / helpStepMs);
+    // A step of age is what a claim has on its way in calm.
+    return Math.min(mostHelpers, firstHelpers * Math.max(1, steps));
+  }
+
   /**
    * Whether a daemon that is no reader should read the store itself. `rank` is its place among the
    * daemons of its data centre, 0 for the first; `chance` its own draw from 0 to 1, which spreads
--- a/packages/gateway/src/knowledge/record-exchange.ts
+++ b/packages/gateway/src/knowledge/record-exchange.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the replica current: from the store where this daemon reads it, from the readers otherwise,
  * and passes on what it learns. The first daemon of each data centre reads; if the store does not
- * answer it, it asks the next two to read, and follows the readers of the other data centres.
+ * answer it, it asks the next ones to read, and follows the readers of the other data centres.
  */
 import { Freshness } from '@baobabline/core';
 import type { Changes, Clock, Member, RandomSource, Replica } from '@baobabline/core';
@@ -38,8 +38,6 @@
 const NEAR_POLL_MS = 400;
 /** Readers of different data centres need each other only once the store turns one away. */
 const FAR_POLL_MS = 1000;
-/** Daemons that a reader asks to read in its place. */
-const HELPERS = 2;
 /** A helper reads on for a few polls after it was last asked. */
 const ASKED_MS = 1500;
 const FETCH_TIMEOUT_MS = 700;
@@ -134,10 +132,17 @@
     const far = fleet.roster
       .listFirst(readerCount)
       .filter((member) => member.dataCentre !== dataCentre);
-    if (this.#isCutOff) return [...near.slice(0, HELPERS), ...far].map(follow);
+    if (this.#isCutOff) return [...this.#listHelpers(near), ...far].map(follow);
     return far.map((member) => ({ member, pollMs: FAR_POLL_MS, wantsPush: false }));
   }
 
+  /** Those next in rank, and the one that the store has answered, however far back it is. */
+  #listHelpers(near: readonly Member[]): readonly Member[] {
+    const now = this.#ports.clock.now();
+    const count = this.#freshness.countHelpers(now, this.#reader.awayMs);
+    return near.filter(({ id }, place) => place < count || id === this.#freshness.sourceId);
+  }
+
   #handlePoll(poll: Poll | undefined, sender: string): boolean {
     if (!poll) return false;
     const { clock, fleet } = this.#ports;
--- a/packages/gateway/src/knowledge/store-reader.ts
+++ b/packages/gateway/src/knowledge/store-reader.ts
@@ -65,6 +65,11 @@
     return this.#awaySince !== undefined;
   }
 
+  /** Milliseconds since the store stopped answering; 0 while it answers. */
+  get awayMs(): number {
+    return this.#awaySince === undefined ? 0 : this.#ports.clock.now() - this.#awaySince;
+  }
+
   /** Begins to read, until stopped. */
   start(): void {
     this.#runOnce()
