Remember the demand of a data centre when its dispatchers are lost

Cause: the demand was the sum of what living members say that they carry. When the strong VMs of a data centre are killed together at the height of a wave, what they said goes with them: one weak VM of 0.27 cores was called on for all of it, and the second only once the first had reported its rise. Change: the roster remembers a demand for five seconds, so that as many weak VMs are called on at once as the wave needs. A test replays the loss of three strong VMs at 450 requests a second; before, one VM of 60 was chosen. Ruled out: keeping more dispatchers at all times, which costs trust, connections and bytes in calm.

--- a/packages/core/src/dispatchers/choose-dispatchers.ts
+++ b/packages/core/src/dispatchers/choose-dispatchers.ts
@@ -57,16 +57,24 @@
   return chosen.reduce((sum, { capacity }) => sum + capacity * share, 0);
 }
 
-/** Chooses the dispatchers of a data centre, the first in line at the head, `minCount` or more. */
+function sumLoad(candidates: readonly DispatcherCandidate[]): number {
+  return candidates.reduce((sum, { load }) => sum + load, 0);
+}
+
+/**
+ * Chooses the dispatchers of a data centre, the first in line at the head: `minCount`, or as many as
+ * carry `demand` requests a second, by default what the candidates say that they carry.
+ */
 export function chooseDispatchers<Candidate extends DispatcherCandidate>(
   candidates: readonly Candidate[],
   dataCentre: string,
   minCount: number,
+  demand?: number,
 ): readonly Candidate[] {
   const ranked = rankDispatchers(candidates, dataCentre);
-  const demand = ranked.reduce((sum, { load }) => sum + load, 0);
+  const wanted = demand ?? sumLoad(ranked);
   return ranked.reduce<readonly Candidate[]>((chosen, candidate) => {
-    if (chosen.length >= minCount && computeCarried(chosen, candidate) >= demand) return chosen;
+    if (chosen.length >= minCount && computeCarried(chosen, candidate) >= wanted) return chosen;
     return [...chosen, candidate];
   }, []);
 }
--- a/packages/core/src/dispatchers/fleet-roster.test.ts
+++ b/packages/core/src/dispatchers/fleet-roster.test.ts
@@ -28,10 +28,12 @@
     ),
   );
   let revision = 0;
+  let now = 0;
   let candidates: readonly Member[] = members;
 
   function createRoster(id: string): FleetRoster {
     return new FleetRoster({ id, dataCentre: id.slice(0, 1) }, 1, {
+      clock: { now: () => now },
       getRevision: () => revision,
       listCandidates: () => candidates,
     });
@@ -81,4 +83,23 @@
     revision += 1;
     expect([idle, createRoster('a-00').listDispatchers('a').length]).to.deep.equal([1, 2]);
   });
+
+  it('calls on as many weak daemons at once as the wave needs that the strong ones carried', () => {
+    const roster = createRoster('a-10');
+    candidates = members.map((member) =>
+      member.capacity > 60 ? { ...member, load: 150 } : member,
+    );
+    revision += 1;
+    expect(roster.listDispatchers('a').map(({ capacity }) => capacity)).to.deep.equal([
+      300, 300, 300,
+    ]);
+    candidates = members.filter(({ capacity }) => capacity === 60);
+    revision += 1;
+    now += 500;
+    const called = roster.listDispatchers('a');
+    expect(called.reduce((sum, { capacity }) => sum + capacity, 0)).to.be.greaterThan(450);
+    // Nobody has come to them meanwhile: the wave is over.
+    now += 6000;
+    expect(roster.listDispatchers('a').length).to.equal(1);
+  });
 });
--- a/packages/core/src/dispatchers/fleet-roster.ts
+++ b/packages/core/src/dispatchers/fleet-roster.ts
@@ -3,24 +3,37 @@
  * each data centre, and with whom members are gossiped about.
  *
  * Load pattern: hundreds of daemons that each look this up many times a second while the members
- * hardly change. All is worked out once for each state of the membership.
+ * hardly change: all is worked out once for each state of the membership. And the strongest VMs of a
+ * data centre lost at the height of a wave, with what they said of their load: as many weaker ones
+ * as the wave needs are called on at once, since the demand is remembered for a while.
  */
 import type { Member } from '../membership/index.js';
+import type { Clock } from '../runtime/index.js';
 import { chooseDispatchers, rankDispatchers } from './choose-dispatchers.js';
 
 /** Daemons of each data centre that exchange members with those of the others. */
 const BRIDGES_PER_DATA_CENTRE = 2;
+/** A demand is remembered for so long: until those that take it over have said what they carry. */
+const DEMAND_HOLD_MS = 5000;
 
 export type RosterSource = {
+  readonly clock: Clock;
   /** Grows with every change of the members or of who can be reached. */
   readonly getRevision: () => number;
   /** Members that may do work: present, not leaving, and reached by this daemon. */
   readonly listCandidates: () => readonly Member[];
 };
 
+type Demand = {
+  /** Requests a second. */
+  readonly rate: number;
+  readonly until: number;
+};
+
 type DataCentre = {
   readonly ranked: readonly Member[];
   readonly dispatchers: readonly Member[];
+  readonly demand: Demand;
 };
 
 function isServing({ state }: Member): boolean {
@@ -36,6 +49,9 @@
 
   #revision = -1;
 
+  /** When a remembered demand ends, so that fewer dispatchers may do. */
+  #validUntil = Number.POSITIVE_INFINITY;
+
   #dataCentres: ReadonlyMap<string, DataCentre> = new Map();
 
   #bridges: ReadonlySet<string> = new Set();
@@ -108,7 +124,7 @@
 
   #refresh(): void {
     const revision = this.#source.getRevision();
-    if (revision === this.#revision) return;
+    if (revision === this.#revision && this.#source.clock.now() < this.#validUntil) return;
     this.#revision = revision;
     const candidates = this.#source.listCandidates();
     const names = [...new Set(candidates.map(({ dataCentre }) => dataCentre))];
@@ -116,6 +132,7 @@
       names.map((name) => [name, this.#buildDataCentre(candidates, name)] as const),
     );
     const all = [...this.#dataCentres.values()];
+    this.#validUntil = Math.min(...all.map(({ demand }) => demand.until));
     this.#bridges = new Set(
       all.flatMap(({ ranked }) => ranked.slice(0, BRIDGES_PER_DATA_CENTRE)).map(({ id }) => id),
     );
@@ -128,6 +145,16 @@
   #buildDataCentre(candidates: readonly Member[], name: string): DataCentre {
     const ranked = rankDispatchers(candidates, name);
     const serving = ranked.filter(isServing);
-    return { ranked, dispatchers: chooseDispatchers(serving, name, this.#minDispatchers) };
+    const demand = this.#computeDemand(serving, this.#dataCentres.get(name)?.demand);
+    const dispatchers = chooseDispatchers(serving, name, this.#minDispatchers, demand.rate);
+    return { ranked, dispatchers, demand };
+  }
+
+  #computeDemand(serving: readonly Member[], known: Demand | undefined): Demand {
+    const now = this.#source.clock.now();
+    const rate = serving.reduce((sum, { load }) => sum + load, 0);
+    const isHeld = known !== undefined && known.rate > rate && now < known.until;
+    if (isHeld) return known;
+    return { rate, until: rate === 0 ? Number.POSITIVE_INFINITY : now + DEMAND_HOLD_MS };
   }
 }
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -73,6 +73,7 @@
       isExchangePartner: (member) => this.roster.isExchangePartner(member),
     });
     this.roster = new FleetRoster(settings, settings.dispatchersPerDataCentre, {
+      clock,
       getRevision: () => this.membership.revision,
       listCandidates: () => this.#listCandidates(),
     });
