Divide the slack of the repeats among all daemons that are known

Cause: it was divided by 64, of which the large fleet has more than four times as many. A test with 293 daemons that want to repeat everything exceeds the bound with 64 and keeps it now; 64 stays the least, as a daemon that has just started knows few.

--- a/packages/core/src/retries/window-allowance.test.ts
+++ b/packages/core/src/retries/window-allowance.test.ts
@@ -10,11 +10,16 @@
 type Event = { readonly at: number; readonly isRepeat: boolean };
 
 /** Replays daemons that want to repeat everything, some of which start anew at times. */
-function runShedding(daemonCount: number, seed: number): readonly Event[] {
+function runShedding(daemonCount: number, seed: number, fleetSlack = SLACK): readonly Event[] {
   const random = createRandom(seed);
   let now = 0;
   const clock = { now: () => now };
-  const settings = { windowMs: WINDOW_MS, ratio: RATIO, fleetSlack: SLACK, daemonCount: 64 };
+  const settings = {
+    windowMs: WINDOW_MS,
+    ratio: RATIO,
+    fleetSlack: SLACK,
+    countDaemons: () => Math.max(64, daemonCount),
+  };
   const daemons = Array.from({ length: daemonCount }, () => new WindowAllowance(settings, clock));
   const events: Event[] = [];
   Array.from({ length: 12_000 }, (_, index) => index).forEach((index) => {
@@ -30,7 +35,7 @@
 }
 
 /** The most by which any window of repeats exceeds what the users allow for it. */
-function computeExcess(events: readonly Event[]): number {
+function computeExcess(events: readonly Event[], fleetSlack = SLACK): number {
   const ends = Array.from({ length: 100 }, (_, index) => index * 600);
   const countIn = (from: number, isRepeat: boolean): number =>
     events.filter((row) => row.isRepeat === isRepeat && row.at > from && row.at <= from + WINDOW_MS)
@@ -42,7 +47,7 @@
       countIn(from - WINDOW_MS / 2, false),
       countIn(from - WINDOW_MS, false),
     );
-    return countIn(from, true) - (requests * RATIO + SLACK);
+    return countIn(from, true) - (requests * RATIO + fleetSlack);
   });
   return Math.max(...excesses);
 }
@@ -53,10 +58,15 @@
     expect(Math.max(...excesses)).to.be.at.most(0);
   });
 
+  it('keeps it with hundreds of daemons, too', () => {
+    const fleetSlack = 430;
+    expect(computeExcess(runShedding(293, 4, fleetSlack), fleetSlack)).to.be.at.most(0);
+  });
+
   it('grows with the requests taken in and comes back as the window slides', () => {
     let now = 0;
     const allowance = new WindowAllowance(
-      { windowMs: 1000, ratio: 0.5, fleetSlack: 0, daemonCount: 1 },
+      { windowMs: 1000, ratio: 0.5, fleetSlack: 0, countDaemons: () => 1 },
       { now: () => now },
     );
     expect(allowance.takeRepeat()).to.equal(false);
--- a/packages/core/src/retries/window-allowance.ts
+++ b/packages/core/src/retries/window-allowance.ts
@@ -15,8 +15,8 @@
   readonly ratio: number;
   /** Repeats allowed to the whole fleet on top. */
   readonly fleetSlack: number;
-  /** Daemons among which the slack is divided. */
-  readonly daemonCount: number;
+  /** Counts the daemons among which the slack is divided: all that may take requests in. */
+  readonly countDaemons: () => number;
 };
 
 /** Windows slide: time is cut into so many parts for counting. */
@@ -62,11 +62,11 @@
   }
 
   #computeState(): { readonly total: number; readonly spent: number } {
-    const { ratio, fleetSlack, daemonCount } = this.#settings;
+    const { ratio, fleetSlack, countDaemons } = this.#settings;
     const parts = this.#listCurrent();
     const requests = parts.reduce((sum, part) => sum + part.requests, 0);
     const spent = parts.reduce((sum, part) => sum + part.repeats, 0);
-    return { total: (requests * ratio + fleetSlack / daemonCount) * SAFETY, spent };
+    return { total: (requests * ratio + fleetSlack / countDaemons()) * SAFETY, spent };
   }
 
   #computeIndex(): number {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,8 +46,11 @@
 const TRAFFIC_LOG_MS = 10_000;
 /** How long a daemon that serves nobody gathers changes of the records. */
 const IDLE_REFRESH_MS = 300;
-/** Daemons among which the fleet's slack for repeats is divided; more than any data centre has. */
-const DAEMON_COUNT = 64;
+/**
+ * Daemons among which the fleet's slack for repeats is divided at least: one that has just started, or
+ * is cut off, knows few of those that exist.
+ */
+const MIN_DAEMON_COUNT = 64;
 const MS_PER_SECOND = 1000;
 
 const PURPOSES: Readonly<Record<DatagramTag, TrafficPurpose>> = {
@@ -271,7 +274,7 @@
       settings: this.#settings,
       dialect: this.#platform.http,
       replica: this.#replica,
-      daemonCount: DAEMON_COUNT,
+      countDaemons: () => Math.max(MIN_DAEMON_COUNT, this.#fleet.membership.members.size),
       hasDispatcher: (dataCentre) => this.#fleet.roster.listDispatchers(dataCentre).length > 0,
       onStep: (request, step) => this.#records.recordStep(request, step),
       onOutcome: (event) => this.#reports.recordOutcome(event),
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -119,7 +119,7 @@
       peerLoads: new PeerLoads(clock),
       dataCentre: 'z1',
       hasDispatcher: () => true,
-      allowance: { windowMs: 10_000, ratio: 0.2, fleetSlack, daemonCount: 1 },
+      allowance: { windowMs: 10_000, ratio: 0.2, fleetSlack, countDaemons: () => 1 },
       createUpstream: (record) => new UpstreamState(record, createPool(record.id), 0),
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -33,7 +33,7 @@
   readonly dialect: HttpDialect;
   readonly replica: Replica;
   /** Daemons that may exist, among which the slack of the retry allowance is divided. */
-  readonly daemonCount: number;
+  readonly countDaemons: () => number;
   /** Whether callers are sent to a daemon of a data centre. */
   readonly hasDispatcher: (dataCentre: string) => boolean;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
@@ -171,7 +171,7 @@
   #getDesk(name: string): ServiceDesk {
     const known = this.#desks.get(name);
     if (known) return known;
-    const { clock, random, settings, daemonCount } = this.#ports;
+    const { clock, random, settings, countDaemons } = this.#ports;
     const { retryRatio, retrySlack, retryWindowMs } = settings.bounds;
     const desk = new ServiceDesk(name, {
       clock,
@@ -185,7 +185,7 @@
         ratio: retryRatio,
         fleetSlack: retrySlack,
         windowMs: retryWindowMs,
-        daemonCount,
+        countDaemons,
       },
       createUpstream: (record) => this.#createUpstream(record),
       onAnswer: (judged) => this.#handleAnswer(judged),
