Pass the slack that a test names on to its replay

The replay with 293 daemons used the slack of the small one, so that it could not fail; with the slack it is given it exceeds the bound by 886 repeats when the slack is divided by 64, and keeps it when it is divided by the daemons.

--- a/packages/core/src/retries/window-allowance.test.ts
+++ b/packages/core/src/retries/window-allowance.test.ts
@@ -17,7 +17,7 @@
   const settings = {
     windowMs: WINDOW_MS,
     ratio: RATIO,
-    fleetSlack: SLACK,
+    fleetSlack,
     countDaemons: () => Math.max(64, daemonCount),
   };
   const daemons = Array.from({ length: daemonCount }, () => new WindowAllowance(settings, clock));
