Start without trpc, and load the metrics library when metrics are asked for

A profile of 40 daemons on loopback shows the start spent on compiling: trpc's server and client, which bring the web request classes with them, for one call at the join; prom-client in each daemon, for scrapes that come to few. Change: all members at once are fetched by a plain call beside the records; prom-client is loaded at the first scrape, or with 5,000 observations to be counted.

--- a/packages/gateway/src/fleet/datagram-calls.ts
+++ b/packages/gateway/src/fleet/datagram-calls.ts
@@ -1,31 +1,24 @@
 /**
  * Gossip and probes by datagram. A call is sent once more if its answer does not come soon, since a
- * datagram may be lost; only what does not fit into one, all members at once, goes by trpc.
+ * datagram may be lost; only what does not fit into one, all members at once, is fetched.
  */
-import type { Member } from '@baobabline/core';
-import type {
-  Endpoint,
-  ExchangeAnswer,
-  ExchangeMessage,
-  PeerClients,
-  ProbeRequest,
-} from '@baobabline/daemon';
+import type { Endpoint, ExchangeAnswer, ExchangeMessage, ProbeRequest } from '@baobabline/daemon';
 import * as z from 'zod';
 
 import {
+  exchangeRowsSchema,
   formatBody,
-  formatMember,
-  memberRowSchema,
+  formatExchange,
   parseBody,
-  parseMember,
+  parseExchange,
 } from '../datagrams/index.js';
 import type { DatagramTag, FleetSocket } from '../datagrams/index.js';
-import type { GatewayPeerRouter, PeerHandlers } from '../peers/index.js';
+import type { PeerHandlers } from '../peers/index.js';
 
 export type CallPorts = {
   readonly socket: FleetSocket;
-  /** Carries what is too large for a datagram. */
-  readonly client: PeerClients<GatewayPeerRouter>;
+  /** Fetches all members that a daemon knows, which do not fit into a datagram. */
+  readonly fetchMembers: (endpoint: Endpoint, message: ExchangeAnswer) => Promise<ExchangeAnswer>;
   readonly handlers: () => PeerHandlers;
 };
 
@@ -36,7 +29,7 @@
 const PROBE_TIMEOUT_MS = 700;
 const MAX_CALL_ID = 2 ** 32;
 
-const exchangeBodySchema = z.tuple([z.int(), memberRowSchema, z.array(memberRowSchema)]);
+const exchangeBodySchema = z.tuple([z.int(), exchangeRowsSchema]);
 const probeBodySchema = z.tuple([z.int(), z.string(), z.int()]);
 const probeAnswerSchema = z.tuple([z.int(), z.boolean()]);
 
@@ -50,20 +43,6 @@
   readonly probe: { readonly mutate: (target: ProbeRequest) => Promise<boolean> };
 };
 
-function formatExchange(callId: number, { from, updates }: ExchangeAnswer): Buffer {
-  return formatBody([callId, formatMember(from), updates.map(formatMember)]);
-}
-
-function parseExchange(
-  body: Buffer,
-): { readonly callId: number; readonly message: ExchangeAnswer } | undefined {
-  const parsed = parseBody(body, exchangeBodySchema);
-  if (!parsed) return undefined;
-  const [callId, from, rows] = parsed;
-  const updates: Member[] = rows.map(parseMember);
-  return { callId, message: { from: parseMember(from), updates, versions: [] } };
-}
-
 export class DatagramCalls {
   readonly #ports: CallPorts;
 
@@ -87,9 +66,9 @@
       exchange: {
         mutate: async (message) =>
           message.wantsAll
-            ? this.#ports.client.connect(endpoint).exchange.mutate(message)
+            ? this.#ports.fetchMembers(endpoint, message)
             : this.#sendCall<ExchangeAnswer>('gossip', address, CALL_TIMEOUT_MS, (callId) =>
-                formatExchange(callId, message),
+                formatBody([callId, formatExchange(message)]),
               ),
       },
       probe: {
@@ -133,16 +112,18 @@
   }
 
   #handleExchange(body: Buffer, sender: string): boolean {
-    const parsed = parseExchange(body);
+    const parsed = parseBody(body, exchangeBodySchema);
     if (!parsed) return false;
-    const answer = this.#ports.handlers().exchange({ ...parsed.message, wantsAll: false });
-    this.#ports.socket.send('gossip-answer', formatExchange(parsed.callId, answer), sender);
+    const [callId, rows] = parsed;
+    const { handlers, socket } = this.#ports;
+    const answer = handlers().exchange({ ...parseExchange(rows), wantsAll: false });
+    socket.send('gossip-answer', formatBody([callId, formatExchange(answer)]), sender);
     return true;
   }
 
   #handleExchangeAnswer(body: Buffer): boolean {
-    const parsed = parseExchange(body);
-    if (parsed) this.#settle(parsed.callId, parsed.message);
+    const parsed = parseBody(body, exchangeBodySchema);
+    if (parsed) this.#settle(parsed[0], parseExchange(parsed[1]));
     return parsed !== undefined;
   }
 
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -11,12 +11,14 @@
   Membership,
 } from '@baobabline/core';
 import type { Clock, Member, RandomSource } from '@baobabline/core';
-import { Gossip, PeerClients } from '@baobabline/daemon';
-import type { Log } from '@baobabline/daemon';
+import { Gossip } from '@baobabline/daemon';
+import type { Endpoint, ExchangeAnswer, Log } from '@baobabline/daemon';
 
+import { exchangeRowsSchema, formatExchange, parseExchange } from '../datagrams/index.js';
 import type { FleetSocket } from '../datagrams/index.js';
-import type { CallAnswer, HttpCalls } from '../http/index.js';
-import type { GatewayPeerRouter, PeerHandlers } from '../peers/index.js';
+import type { HttpCalls } from '../http/index.js';
+import { MEMBERS_PATH } from '../peers/index.js';
+import type { PeerHandlers } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import { DatagramCalls } from './datagram-calls.js';
 
@@ -39,6 +41,7 @@
 /** Daemons of other data centres that a newcomer is told of, each: readers, dispatchers, spares. */
 const KNOWN_OF_OTHERS = 6;
 const CALL_TIMEOUT_MS = 700;
+const OK_STATUS = 200;
 
 /** Gossip here carries members alone; records have a way of their own. */
 const NO_DOCUMENTS = { listVersions: () => [], getVersion: () => 0 };
@@ -52,10 +55,6 @@
 
   readonly #ports: FleetPorts;
 
-  readonly #client = new PeerClients<GatewayPeerRouter>(async (url, body) =>
-    this.#sendCall(url, body),
-  );
-
   readonly #datagramCalls: DatagramCalls;
 
   #timer: NodeJS.Timeout | undefined;
@@ -79,7 +78,7 @@
     });
     this.#datagramCalls = new DatagramCalls({
       socket: ports.socket,
-      client: this.#client,
+      fetchMembers: async (endpoint, message) => this.#fetchMembers(endpoint, message),
       handlers: () => this.handlers,
     });
     this.gossip = new Gossip({
@@ -171,9 +170,20 @@
     clearInterval(this.#timer);
   }
 
-  async #sendCall(url: string, body: string): Promise<CallAnswer> {
-    this.#ports.onSent(new URL(url).hostname, body.length);
-    return this.#ports.calls.send({ url, method: 'POST', body, timeoutMs: CALL_TIMEOUT_MS });
+  async #fetchMembers(
+    { address, port }: Endpoint,
+    message: ExchangeAnswer,
+  ): Promise<ExchangeAnswer> {
+    const body = JSON.stringify(formatExchange(message));
+    this.#ports.onSent(address, body.length);
+    const { status, text } = await this.#ports.calls.send({
+      url: `http://${address}:${port}${MEMBERS_PATH}`,
+      method: 'POST',
+      body,
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+    if (status !== OK_STATUS) throw new Error(`the daemon answered ${status}`);
+    return parseExchange(exchangeRowsSchema.parse(JSON.parse(text)));
   }
 
   #createSelf(): Member {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -196,7 +196,6 @@
   async #startMetrics(): Promise<void> {
     const { metrics } = this.#settings;
     if (!metrics) return;
-    await this.#metrics.load();
     const server = createMetricsServer(
       async () => this.#metrics.describe(),
       (reason) => this.#log.warn('metrics-fault', { reason }),
@@ -256,15 +255,18 @@
   }
 
   #createMetrics(): GatewayMetrics {
-    return new GatewayMetrics({
-      listServices: () => this.#services.listDesks().map((desk) => desk.describe()),
-      countMembers: () => this.#fleet.countMembers(),
-      getConfigurationVersion: () => this.#services.routes?.configuration.version ?? 0,
-      getRevision: () => this.#replica.revision,
-      isStoreAway: () => this.#exchange.isStoreAway,
-      isDispatcher: () => this.#fleet.isDispatcher,
-      listTraffic: () => this.#traffic.list(),
-    });
+    return new GatewayMetrics(
+      {
+        listServices: () => this.#services.listDesks().map((desk) => desk.describe()),
+        countMembers: () => this.#fleet.countMembers(),
+        getConfigurationVersion: () => this.#services.routes?.configuration.version ?? 0,
+        getRevision: () => this.#replica.revision,
+        isStoreAway: () => this.#exchange.isStoreAway,
+        isDispatcher: () => this.#fleet.isDispatcher,
+        listTraffic: () => this.#traffic.list(),
+      },
+      (error) => this.#log.warn('metrics-fault', { reason: error.message }),
+    );
   }
 
   #createServices(): RoutedServices {
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -1,6 +1,6 @@
 /**
  * Counts what happens to requests. The library behind it costs a tenth of the time to start, so
- * that it is loaded once the daemon serves; what happens until then is counted afterwards.
+ * that it is loaded once metrics are asked for; what happens until then is counted afterwards.
  */
 import type { RequestEnd, RequestStep, RoutedRequest } from '../requests/index.js';
 import type { FigureSource, MetricsRegistry } from './metrics-registry.js';
@@ -10,8 +10,8 @@
 
 /** Steps of a request that are attempts without a good answer. */
 const FAILED_STEPS: readonly string[] = ['overdue', 'unsent', 'lost', 'invalid'];
-/** What is kept until the library is there: a few seconds of requests. */
-const MAX_PENDING = 20_000;
+/** With more than this to be counted the library is loaded in any case: a few seconds of requests. */
+const MAX_PENDING = 5000;
 const SERVER_ERROR_STATUS = 500;
 const MS_PER_SECOND = 1000;
 
@@ -25,19 +25,25 @@
 
   #registry: MetricsRegistry | undefined;
 
+  #loading: Promise<MetricsRegistry> | undefined;
+
   #pending: Observation[] = [];
 
-  constructor(source: FigureSource) {
+  readonly #onFault: (error: Error) => void;
+
+  /** `onFault` is called if the library cannot be loaded. */
+  constructor(source: FigureSource, onFault: (error: Error) => void) {
     this.#source = source;
+    this.#onFault = onFault;
   }
 
-  /** Loads the library; until then metrics cannot be read. */
-  async load(): Promise<void> {
+  async #load(): Promise<MetricsRegistry> {
     const { MetricsRegistry } = await import('./metrics-registry.js');
     const registry = new MetricsRegistry(this.#source);
     this.#registry = registry;
     this.#pending.forEach((observe) => observe(registry));
     this.#pending = [];
+    return registry;
   }
 
   /** Notes a step of a request, at a time of the daemon's clock. */
@@ -72,17 +78,25 @@
     this.#record(({ refusals }) => refusals.inc({ code: String(code) }));
   }
 
-  /** The metrics as text; undefined until they can be read. */
-  async describe(): Promise<string | undefined> {
-    return this.#registry?.registry.metrics();
+  /** The metrics as text; loads the library where that is still to be done. */
+  async describe(): Promise<string> {
+    this.#loading ??= this.#load();
+    return (await this.#loading).registry.metrics();
   }
 
   #recordFailure(service: string, cause: string): void {
     this.#record(({ failures }) => failures.inc({ service, cause }));
   }
 
+  #keep(observe: Observation): void {
+    this.#pending.push(observe);
+    if (this.#pending.length < MAX_PENDING) return;
+    this.#loading ??= this.#load();
+    this.#loading.catch(this.#onFault);
+  }
+
   #record(observe: Observation): void {
     if (this.#registry) observe(this.#registry);
-    else if (this.#pending.length < MAX_PENDING) this.#pending.push(observe);
+    else this.#keep(observe);
   }
 }
--- a/packages/gateway/src/metrics/metrics-server.ts
+++ b/packages/gateway/src/metrics/metrics-server.ts
@@ -8,22 +8,19 @@
 const CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 const OK_STATUS = 200;
 const NOT_FOUND_STATUS = 404;
-const NOT_YET_STATUS = 503;
 
 async function answerMetrics(
   response: ServerResponse,
-  describe: () => Promise<string | undefined>,
+  describe: () => Promise<string>,
 ): Promise<void> {
   const text = await describe();
-  response.writeHead(text === undefined ? NOT_YET_STATUS : OK_STATUS, {
-    'content-type': CONTENT_TYPE,
-  });
+  response.writeHead(OK_STATUS, { 'content-type': CONTENT_TYPE });
   response.end(text);
 }
 
-/** Creates the listener; `describe` returns undefined until there are metrics to read. */
+/** Creates the listener. */
 export function createMetricsServer(
-  describe: () => Promise<string | undefined>,
+  describe: () => Promise<string>,
   onFault: (reason: string) => void,
 ): Server {
   return createServer((message, response) => {
--- a/packages/gateway/src/peers/peer-server.ts
+++ b/packages/gateway/src/peers/peer-server.ts
@@ -1,16 +1,18 @@
 /**
- * The listener for other gateway daemons.
+ * The listener for what other gateway daemons fetch because it is too large for a datagram: all
+ * members, and the changes of the records. Plain calls over Node's own server: loading trpc costs a
+ * daemon a fifth of its start, and the rest of what daemons say goes by datagram.
  */
 import type { Changes } from '@baobabline/core';
-import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import type { ExchangeAnswer, ExchangeMessage, ProbeRequest } from '@baobabline/daemon';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type * as z from 'zod';
 
+import { exchangeRowsSchema, formatExchange, parseExchange } from '../datagrams/index.js';
 import { readBody } from '../http/index.js';
 import { recordsRequestSchema } from './messages.js';
 import type { RecordsRequest } from './messages.js';
-import { createPeerRouter } from './router.js';
-import type { PeerHandlers } from './router.js';
 
 /** Longer than peers keep their connections, so that it is they who close them. */
 const KEEP_ALIVE_MS = 60_000;
@@ -19,47 +21,67 @@
 
 /** Where a daemon fetches changes of the records. */
 export const RECORDS_PATH = '/records';
+/** Where a daemon that joins tells of itself and fetches the members. */
+export const MEMBERS_PATH = '/members';
 
 const OK_STATUS = 200;
 const REFUSED_STATUS = 400;
+const NOT_FOUND_STATUS = 404;
 
-type RecordsHandler = (request: RecordsRequest) => Changes;
+export type PeerHandlers = {
+  readonly exchange: (message: ExchangeMessage) => ExchangeAnswer;
+  readonly probe: (target: ProbeRequest) => Promise<boolean>;
+};
 
-function readRequest(text: string): RecordsRequest | undefined {
+/** Reads a request and answers it; undefined where it cannot be understood. */
+type Call = (text: string) => unknown;
+
+function readJson<Shape extends z.ZodType>(
+  text: string,
+  schema: Shape,
+): z.infer<Shape> | undefined {
   try {
-    return recordsRequestSchema.safeParse(JSON.parse(text)).data;
+    return schema.safeParse(JSON.parse(text)).data;
   } catch {
     // A caller that cannot be understood is told so.
     return undefined;
   }
 }
 
-function serveRecords(
-  message: IncomingMessage,
-  response: ServerResponse,
-  listChanges: RecordsHandler,
-): void {
+function serveCall(message: IncomingMessage, response: ServerResponse, call: Call): void {
   readBody(message, MAX_MESSAGE_BYTES, (body) => {
-    const request =
-      body.kind === 'whole'
-        ? readRequest(Buffer.concat([...body.chunks]).toString('utf8'))
-        : undefined;
-    response.writeHead(request ? OK_STATUS : REFUSED_STATUS, {
-      'content-type': 'application/json',
-    });
-    response.end(request ? JSON.stringify(listChanges(request)) : '{}');
+    const text = body.kind === 'whole' ? Buffer.concat([...body.chunks]).toString('utf8') : '';
+    const answer = call(text);
+    const status = answer === undefined ? REFUSED_STATUS : OK_STATUS;
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(answer ?? {}));
   });
 }
 
-/** Creates the peers' listener: trpc, and beside it the records, which are large. */
-export function createPeerServer(handlers: PeerHandlers, listChanges: RecordsHandler): Server {
-  const handle = createHTTPHandler({
-    router: createPeerRouter(handlers),
-    basePath: '/trpc/',
-    maxBodySize: MAX_MESSAGE_BYTES,
-  });
+/** Creates the peers' listener. */
+export function createPeerServer(
+  { exchange }: PeerHandlers,
+  listChanges: (request: RecordsRequest) => Changes,
+): Server {
+  const calls: ReadonlyMap<string | undefined, Call> = new Map<string, Call>([
+    [
+      RECORDS_PATH,
+      (text) => {
+        const request = readJson(text, recordsRequestSchema);
+        return request && listChanges(request);
+      },
+    ],
+    [
+      MEMBERS_PATH,
+      (text) => {
+        const rows = readJson(text, exchangeRowsSchema);
+        return rows && formatExchange(exchange({ ...parseExchange(rows), wantsAll: true }));
+      },
+    ],
+  ]);
   return createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (message, response) => {
-    if (message.url === RECORDS_PATH) serveRecords(message, response, listChanges);
-    else handle(message, response);
+    const call = calls.get(message.url);
+    if (call) serveCall(message, response, call);
+    else response.writeHead(NOT_FOUND_STATUS).end();
   });
 }
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -197,7 +197,13 @@
       overdueTimer: this.#startOverdueTimer(upstreamId),
     };
     this.#attempts = [...this.#attempts, attempt];
-    this.#record({ step: 'sent', upstream: upstreamId, reason, attempt: this.#sentCount });
+    this.#record({
+      step: 'sent',
+      upstream: upstreamId,
+      dataCentre: state.record.dataCentre,
+      reason,
+      attempt: this.#sentCount,
+    });
     const head = this.#buildHead(upstreamId);
     const { dataCentre } = state.record;
     this.#ports.onBytes('requests', dataCentre, head.length + this.#request.bodyBytes);
