--- a/packages/experiments/src/bin.ts
+++ b/packages/experiments/src/bin.ts
@@ -22,6 +22,7 @@
 import { buildPoliciesSvg } from './policies/draw-policies.js';
 import { PoliciesExperiment } from './policies/policies-experiment.js';
 import { printResult } from './runner/report.js';
+import { describeSoaks, runSoaks } from './soak/index.js';
 import { SlotsExperiment } from './slots/slots-experiment.js';
 import { StopExperiment } from './stop/stop-experiment.js';
 import { measureTables } from './tables/tables-experiment.js';
@@ -170,7 +171,24 @@
       printResult(result);
     },
   )
+  .command(
+    'soak',
+    'Real gateways, faults from outside drawn from a seed, and the promises judged',
+    {
+      seed: SEED,
+      seeds: { ...COUNT, default: 1, describe: 'how many seeds in a row' },
+      seconds: { ...COUNT, default: 30 },
+      processes: { ...COUNT, default: 4 },
+      program: { type: 'string', default: 'platform/dist/bin.js' },
+    },
+    async ({ seed, seeds, ...options }) => {
+      const results = await runSoaks({ ...options, seed }, seeds);
+      printResult({ results });
+      process.stdout.write(`${describeSoaks(results)}\n`);
+      if (results.some(({ faults }) => faults.length > 0)) process.exitCode = 1;
+    },
+  )
   .demandCommand(1)
   .strict()
   .parseAsync();
-process.exit(0);
+process.exit();
--- /dev/null
+++ b/packages/experiments/src/soak/judge.test.ts
@@ -0,0 +1,108 @@
+import { createRandom } from '@baobabline/core';
+import { expect } from 'chai';
+
+import { drawDisturbances, judgeSoak } from './index.js';
+import type { SoakRecord } from './index.js';
+import type { SeenRequest, SeenRun } from './types.js';
+
+const REQUEST: SeenRequest = {
+  id: 'r',
+  daemon: 'vm-0',
+  life: 1,
+  method: 'POST',
+  path: '/book/1',
+  sentMs: 5000,
+  endMs: 5050,
+  status: 200,
+  body: 'i-1 ran POST /book/1',
+  signature: 'sig.r',
+};
+const RUN: SeenRun = { requestId: 'r', instance: 'i-1', atMs: 5005 };
+
+const CALM: SoakRecord = {
+  disturbances: [],
+  requests: [REQUEST],
+  runs: [RUN],
+  exits: [],
+  versions: [],
+  published: [],
+  leavings: [],
+  struck: [],
+};
+
+function listBroken(changes: Partial<SoakRecord>): readonly string[] {
+  return judgeSoak({ ...CALM, ...changes }).map(({ promise }) => promise);
+}
+
+function buildRequest(changes: Partial<SeenRequest>): readonly SeenRequest[] {
+  return [{ ...REQUEST, ...changes }];
+}
+
+describe('the judge of a soak', () => {
+  it('finds nothing where all promises were kept', () => {
+    expect(judgeSoak(CALM)).to.deep.equal([]);
+  });
+
+  it('finds an answer that is cut, or that belongs to another request', () => {
+    expect(listBroken({ requests: buildRequest({ body: 'i-1 r' }) })).to.deep.equal([
+      'own whole answer',
+    ]);
+    expect(listBroken({ requests: buildRequest({ signature: 'sig.other' }) })).to.deep.equal([
+      'own whole answer',
+    ]);
+  });
+
+  it('finds what ran twice, and what ran though it was refused as not run', () => {
+    expect(listBroken({ runs: [RUN, { ...RUN, instance: 'i-2' }] })).to.deep.equal([
+      'at most once',
+    ]);
+    const refused = { status: 503, body: '', signature: '' };
+    expect(listBroken({ requests: buildRequest(refused) })).to.deep.equal(['true refusals']);
+    expect(listBroken({ requests: buildRequest(refused), runs: [] })).to.deep.equal([]);
+  });
+
+  it('finds runs that nobody asked for', () => {
+    expect(listBroken({ runs: [RUN, { ...RUN, requestId: 'x' }] })).to.deep.equal([
+      'nothing unasked',
+    ]);
+  });
+
+  it('finds a request that a planned stop cut, unless something else may have', () => {
+    const cut = { requests: buildRequest({ status: 0, body: '', signature: '' }) };
+    const struck = [{ daemon: 'vm-0', atMs: 5010, kind: 'stop' }];
+    expect(listBroken({ ...cut, struck })).to.deep.equal(['stops cut nothing']);
+    const killed = [...struck, { daemon: 'vm-0', atMs: 5020, kind: 'kill' }];
+    expect(listBroken({ ...cut, struck: killed })).to.deep.equal([]);
+  });
+
+  it('finds work at an upstream that had left', () => {
+    const leavings = [{ instance: 'i-1', atMs: 2000 }];
+    expect(listBroken({ leavings })).to.deep.equal(['no new work for who leaves']);
+    expect(listBroken({ leavings: [{ instance: 'i-1', atMs: 4000 }] })).to.deep.equal([]);
+  });
+
+  it('finds a configuration that reverts, or comes too late', () => {
+    const seen = { daemon: 'vm-0', life: 1, isThere: true };
+    const versions = [
+      { ...seen, atMs: 6000, version: 3 },
+      { ...seen, atMs: 6500, version: 2 },
+    ];
+    expect(listBroken({ versions })).to.deep.equal(['configurations never revert']);
+    const published = [{ version: 3, atMs: 1000 }];
+    const late = [{ ...seen, atMs: 3500, version: 3, isThere: false }];
+    expect(listBroken({ versions: late, published })).to.deep.equal(['configurations in force']);
+  });
+
+  it('finds a process that fell by itself', () => {
+    const exits = [{ daemon: 'vm-0', life: 1, atMs: 7000, code: 1, signal: null }];
+    expect(listBroken({ exits })).to.deep.equal(['processes do not fall']);
+  });
+
+  it('is given the same disturbances for the same seed, and quiet time at both ends', () => {
+    const draw = (): ReturnType<typeof drawDisturbances> =>
+      drawDisturbances(createRandom(4), 30_000);
+    expect(draw()).to.deep.equal(draw());
+    expect(draw().length).to.be.greaterThan(10);
+    expect(draw().every(({ startMs, endMs }) => startMs > 2500 && endMs < 27_500)).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/experiments/src/soak/judge.ts
@@ -0,0 +1,170 @@
+/**
+ * Judges what a soak has seen by the promises of the users' pages: whole own answers, at most one
+ * run of what may run once, true refusals, planned stops that cut nothing, no work for those that
+ * left, configurations that are in force in time and never revert, processes that do not fall.
+ */
+import type { SeenRequest, SeenRun, SeenVersion, SoakRecord } from './types.js';
+
+export type Fault = { readonly promise: string; readonly detail: string };
+
+/** A configuration or an upstream's leaving takes effect so soon where the store answers. */
+const IN_FORCE_MS = 2000;
+/** Where the store was away, or the daemon was disturbed, so long before. */
+const SETTLE_MS = 3000;
+/** Statuses that promise that the request has not run and never will. */
+const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
+/** Share of its time after which a planned stop may let a request fail like any other. */
+const TIME_LIMIT_MS = 2000;
+
+function isWithin(atMs: number, startMs: number, endMs: number): boolean {
+  return atMs >= startMs && atMs <= endMs;
+}
+
+/** Whether a disturbance of the given kinds touched a span of time, or the time before it. */
+function isDisturbed(
+  { disturbances }: SoakRecord,
+  fromMs: number,
+  toMs: number,
+  prefixes: readonly string[],
+): boolean {
+  return disturbances.some(
+    ({ kind, startMs, endMs }) =>
+      prefixes.some((prefix) => kind.startsWith(prefix)) &&
+      startMs <= toMs &&
+      endMs + SETTLE_MS >= fromMs,
+  );
+}
+
+function groupRuns(runs: readonly SeenRun[]): ReadonlyMap<string, readonly SeenRun[]> {
+  const groups = new Map<string, SeenRun[]>();
+  runs.forEach((run) => groups.set(run.requestId, [...(groups.get(run.requestId) ?? []), run]));
+  return groups;
+}
+
+function checkAnswer({ id, method, path, status, body, signature }: SeenRequest): readonly Fault[] {
+  if (status < 200 || status >= 300) return [];
+  const isWhole = new RegExp(`^\\S+ ran ${method} ${path}$`).test(body);
+  if (isWhole && signature === `sig.${id}`) return [];
+  return [{ promise: 'own whole answer', detail: `${id}: ${signature} ${body}` }];
+}
+
+function checkRuns(
+  request: SeenRequest,
+  runs: ReadonlyMap<string, readonly SeenRun[]>,
+): readonly Fault[] {
+  const { id, method, status, signature } = request;
+  const own = runs.get(id) ?? [];
+  const twice =
+    method === 'POST' && own.length > 1
+      ? [{ promise: 'at most once', detail: `${id} ran at ${own.map((run) => run.instance)}` }]
+      : [];
+  const isPromise = NOT_RUN_STATUSES.includes(status) && signature === '';
+  const untrue =
+    isPromise && own.length > 0
+      ? [{ promise: 'true refusals', detail: `${id}: ${status}, but ran` }]
+      : [];
+  return [...twice, ...untrue];
+}
+
+/** Requests that a planned stop has cut, with nothing else to blame. */
+function checkStops(
+  record: SoakRecord,
+  runs: ReadonlyMap<string, readonly SeenRun[]>,
+): readonly Fault[] {
+  const stops = record.struck.filter(({ kind }) => kind === 'stop');
+  return record.requests
+    .filter(({ id, status }) => status === 0 && (runs.get(id) ?? []).length > 0)
+    .filter(({ daemon, sentMs, endMs }) =>
+      stops.some(
+        (stop) => stop.daemon === daemon && isWithin(stop.atMs, sentMs - SETTLE_MS, endMs),
+      ),
+    )
+    .filter(({ sentMs, endMs }) => endMs - sentMs < TIME_LIMIT_MS)
+    .filter(
+      ({ daemon, sentMs, endMs }) =>
+        !isDisturbed(record, sentMs, endMs, ['instance', 'link']) &&
+        !record.struck.some(
+          (strike) =>
+            strike.daemon === daemon &&
+            strike.kind !== 'stop' &&
+            isWithin(strike.atMs, sentMs - SETTLE_MS, endMs),
+        ),
+    )
+    .map(({ id, daemon }) => ({ promise: 'stops cut nothing', detail: `${id} at ${daemon}` }));
+}
+
+function checkLeavings(record: SoakRecord): readonly Fault[] {
+  return record.leavings.flatMap(({ instance, atMs }) =>
+    record.runs
+      .filter((run) => run.instance === instance && run.atMs > atMs + IN_FORCE_MS)
+      .filter((run) => !isDisturbed(record, atMs, run.atMs, ['store', 'history', 'pause', 'kill']))
+      .map((run) => ({
+        promise: 'no new work for who leaves',
+        detail: `${run.requestId} at ${instance}, ${Math.round(run.atMs - atMs)} ms after`,
+      })),
+  );
+}
+
+/** A daemon that once has a version in force never answers as an older one again. */
+function checkReverts({ versions }: SoakRecord): readonly Fault[] {
+  const seen = new Map<string, number>();
+  return [...versions]
+    .sort((left, right) => left.atMs - right.atMs)
+    .flatMap(({ daemon, life, version, isThere, atMs }: SeenVersion) => {
+      const key = `${daemon}#${life}`;
+      const newest = seen.get(key) ?? 0;
+      if (isThere) seen.set(key, Math.max(newest, version));
+      const isReverted = isThere && version < newest;
+      return isReverted
+        ? [{ promise: 'configurations never revert', detail: `${key}: ${version} at ${atMs}` }]
+        : [];
+    });
+}
+
+function checkInForce(record: SoakRecord): readonly Fault[] {
+  return record.versions
+    .filter(({ isThere }) => !isThere)
+    .flatMap(({ daemon, version, atMs }) => {
+      const change = record.published.find((one) => one.version === version);
+      const next = record.published.find((one) => one.version > version);
+      if (!change || atMs < change.atMs + IN_FORCE_MS) return [];
+      if (next && next.atMs <= atMs) return [];
+      if (isDisturbed(record, change.atMs, atMs, ['store', 'history', 'pause', 'kill', 'stop'])) {
+        return [];
+      }
+      const age = Math.round(atMs - change.atMs);
+      return [{ promise: 'configurations in force', detail: `${daemon}: ${version}, ${age} ms` }];
+    });
+}
+
+function checkExits({ exits, struck }: SoakRecord): readonly Fault[] {
+  return exits
+    .filter(({ daemon, atMs, code, signal }) => {
+      const isAsked = struck.some(
+        (strike) => strike.daemon === daemon && strike.kind !== 'pause' && strike.atMs <= atMs,
+      );
+      return !isAsked || (code !== 0 && signal === null);
+    })
+    .map(({ daemon, code, signal }) => ({
+      promise: 'processes do not fall',
+      detail: `${daemon}: code ${code}, signal ${signal}`,
+    }));
+}
+
+/** Lists the promises that were broken. */
+export function judgeSoak(record: SoakRecord): readonly Fault[] {
+  const runs = groupRuns(record.runs);
+  const sent = new Set(record.requests.map(({ id }) => id));
+  const unasked = record.runs
+    .filter(({ requestId }) => !sent.has(requestId))
+    .map(({ requestId }) => ({ promise: 'nothing unasked', detail: requestId }));
+  return [
+    ...record.requests.flatMap((request) => [...checkAnswer(request), ...checkRuns(request, runs)]),
+    ...unasked,
+    ...checkStops(record, runs),
+    ...checkLeavings(record),
+    ...checkReverts(record),
+    ...checkInForce(record),
+    ...checkExits(record),
+  ];
+}
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.ts
@@ -9,6 +9,9 @@
 
 export type DirectionFault = 'none' | 'drop';
 
+/** Means nothing to a server that has ended its side. */
+const EMPTY_LINE = '\r\n';
+
 type Link = {
   readonly near: Socket;
   readonly far: Socket;
@@ -29,7 +32,7 @@
 
   constructor(target: { readonly address: string; readonly port: number }) {
     this.#target = target;
-    this.#server = createServer((near) => this.#accept(near));
+    this.#server = createServer({ allowHalfOpen: true }, (near) => this.#accept(near));
   }
 
   async start(address = '127.0.0.1'): Promise<void> {
@@ -76,7 +79,8 @@
   }
 
   #accept(near: Socket): void {
-    const far = connect(this.#target.port, this.#target.address);
+    const { port, address } = this.#target;
+    const far = connect({ port, host: address, allowHalfOpen: true });
     const link: Link = { near, far, silent: { value: false } };
     this.#links = [...this.#links, link];
     near.on('data', (data) => this.#pass(link, 'forward', data));
@@ -92,10 +96,21 @@
       near.destroy();
       far.destroy();
     };
-    [near, far].forEach((socket) => {
-      socket.on('error', () => undefined);
-      socket.on('close', end);
-    });
+    const passReset = (other: Socket): void => {
+      if (!silent.value) other.resetAndDestroy();
+    };
+    near.on('error', () => passReset(far));
+    far.on('error', () => passReset(near));
+    near.on('end', () => far.end());
+    // Node tells a reset that arrives together with data as an end. Only a write shows it.
+    far.on('end', () =>
+      far.write(EMPTY_LINE, (error) => {
+        if (silent.value) return;
+        if (error) near.resetAndDestroy();
+        else near.end();
+      }),
+    );
+    [near, far].forEach((socket) => socket.on('close', end));
   }
 
   #pass(link: Link, direction: Direction, data: Buffer): void {
--- /dev/null
+++ b/packages/stand-ins/src/platform/gateway-process.ts
@@ -0,0 +1,92 @@
+/**
+ * A gateway as the platform runs it: a process with a settings file in the platform's format, on an
+ * address of its own in the loopback range. Signals are sent to it by its id only.
+ */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+export type GatewayProcessSettings = {
+  /** The program: a script for Node. */
+  readonly program: string;
+  /** Where the settings file goes. */
+  readonly folder: string;
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly address: string;
+  readonly seeds: readonly string[];
+  readonly storePort: number;
+  /** Seconds from SIGTERM until the platform would kill it. */
+  readonly stopGraceSeconds: number;
+};
+
+/** The same on all addresses, as on the platform. */
+export const GATEWAY_PORTS = {
+  front: 23_144,
+  readiness: 23_140,
+  control: 23_146,
+  directory: 23_143,
+  internal: 23_160,
+};
+
+function formatSettings(settings: GatewayProcessSettings): string {
+  const { id, dataCentre, address, seeds, storePort, stopGraceSeconds } = settings;
+  const { internal, ...listen } = GATEWAY_PORTS;
+  const seedList = seeds.map((seed) => `"${seed}:${GATEWAY_PORTS.control}"`).join(', ');
+  return [
+    `nodeName = "${id}"`,
+    `zone = "${dataCentre}"`,
+    `internalPorts = [${internal}, ${internal + 5}]`,
+    `seeds = [${seedList}]`,
+    `bounds = ["graceS=${stopGraceSeconds}", "retryBudgetRatio=0.2", "retryBudgetSlack=640"]`,
+    '[listenAddrs]',
+    ...Object.entries(listen).map(([name, port]) => `${name} = "${address}:${port}"`),
+    '[platform]',
+    `address = "127.0.0.1:${storePort}"`,
+    '',
+  ].join('\n');
+}
+
+export class GatewayProcess {
+  readonly settings: GatewayProcessSettings;
+
+  #child: ChildProcess | undefined;
+
+  #starts = 0;
+
+  constructor(settings: GatewayProcessSettings) {
+    this.settings = settings;
+  }
+
+  /** How often it was started: tells its lives apart. */
+  get starts(): number {
+    return this.#starts;
+  }
+
+  get isRunning(): boolean {
+    return this.#child !== undefined && this.#child.exitCode === null && !this.#child.killed;
+  }
+
+  /** Starts it, if it is not running; `onExit` is called with how this life ended. */
+  start(onExit: (code: number | null, signal: string | null) => void): void {
+    const { program, folder, id } = this.settings;
+    const file = join(folder, `${id}.toml`);
+    writeFileSync(file, formatSettings(this.settings));
+    this.#starts += 1;
+    const child = spawn(process.execPath, [program], {
+      env: { ...process.env, BAOBABLINE_SETTINGS: file },
+      stdio: ['ignore', 'ignore', 'inherit'],
+    });
+    this.#child = child;
+    child.once('exit', (code, signal) => {
+      if (this.#child === child) this.#child = undefined;
+      onExit(code, signal);
+    });
+  }
+
+  /** Sends a signal to the process that this object started, if it still runs. */
+  send(signal: NodeJS.Signals): void {
+    if (this.#child?.exitCode === null) this.#child.kill(signal);
+  }
+}
--- a/packages/stand-ins/src/platform/instance-stand-in.ts
+++ b/packages/stand-ins/src/platform/instance-stand-in.ts
@@ -26,6 +26,8 @@
   readonly url: string;
   readonly bodyBytes: number;
   readonly deadlineMs: number;
+  /** When it began, on the clock of `performance.now()`. */
+  readonly startedAt: number;
 };
 
 const MISDIRECTED_STATUS = 421;
@@ -134,6 +136,7 @@
       url: message.url ?? '',
       bodyBytes,
       deadlineMs: Number(readText(message, 'x-deadline-ms')),
+      startedAt: performance.now(),
     };
     this.#runs = [...this.#runs, run];
   }
--- /dev/null
+++ b/packages/stand-ins/src/platform/published.ts
@@ -0,0 +1,63 @@
+/**
+ * What operators and upstreams publish in the platform's store, in its format.
+ */
+
+/** The entry of an upstream. */
+export function buildStoreEntry(
+  service: string,
+  endpoint: string,
+  {
+    state = 'ready',
+    slots = 4,
+    bornAt = 1,
+  }: {
+    readonly state?: 'ready' | 'draining';
+    readonly slots?: number;
+    readonly bornAt?: number;
+  } = {},
+): object {
+  return {
+    service,
+    address: endpoint,
+    zone: 'z1',
+    version: 'v1',
+    maxConcurrency: slots,
+    state,
+    warmupLeftS: 0,
+    sequence: 1,
+    born: bornAt,
+  };
+}
+
+export type PublishedRoute = {
+  readonly prefix: string;
+  readonly kind: 'safe' | 'unsafe';
+  readonly service: string;
+  readonly timeoutSeconds: number;
+};
+
+/** A configuration with the routes of one host. */
+export function buildStoreConfiguration(
+  version: number,
+  host: string,
+  routes: readonly PublishedRoute[],
+): object {
+  return {
+    version: `r${version}`,
+    limits: { maxHeaderBytes: 8192, maxBodyBytes: 100_000, headerTimeoutS: 2, idleTimeoutS: 10 },
+    listeners: [
+      {
+        host,
+        rules: routes.map(({ prefix, kind, service, timeoutSeconds }) => ({
+          name: prefix,
+          kind,
+          targetLatencyS: 0.5,
+          priority: 1,
+          match: { prefix },
+          action: { service, timeoutS: timeoutSeconds, maxAttempts: 3 },
+        })),
+      },
+    ],
+    clusters: [],
+  };
+}
