Name several dispatchers while nobody can know the demand

Change: a daemon that has just started names the first three of each data centre for five seconds. A test replays the start. Ruled out: remembering the demand, as nobody is left who could.

--- a/packages/core/src/dispatchers/fleet-roster.test.ts
+++ b/packages/core/src/dispatchers/fleet-roster.test.ts
@@ -31,7 +31,7 @@
   let now = 0;
   let candidates: readonly Member[] = members;
 
-  function createRoster(id: string): FleetRoster {
+  function createStartingRoster(id: string): FleetRoster {
     return new FleetRoster({ id, dataCentre: id.slice(0, 1) }, 1, {
       clock: { now: () => now },
       getRevision: () => revision,
@@ -39,6 +39,12 @@
     });
   }
 
+  function createRoster(id: string): FleetRoster {
+    const roster = createStartingRoster(id);
+    now += 5000;
+    return roster;
+  }
+
   beforeEach(() => {
     revision += 1;
     candidates = members;
@@ -102,4 +108,11 @@
     now += 6000;
     expect(roster.listDispatchers('a').length).to.equal(1);
   });
+
+  it('names several dispatchers while nobody can know the demand, after all power was lost', () => {
+    const roster = createStartingRoster('a-10');
+    expect(roster.listDispatchers('a').map(({ id }) => id)).to.deep.equal(['a-00', 'a-01', 'a-02']);
+    now += 5000;
+    expect(roster.listDispatchers('a').length).to.equal(1);
+  });
 });
--- a/packages/core/src/dispatchers/fleet-roster.ts
+++ b/packages/core/src/dispatchers/fleet-roster.ts
@@ -5,7 +5,9 @@
  * Load pattern: hundreds of daemons that each look this up many times a second while the members
  * hardly change: all is worked out once for each state of the membership. And the strongest VMs of a
  * data centre lost at the height of a wave, with what they said of their load: as many weaker ones
- * as the wave needs are called on at once, since the demand is remembered for a while.
+ * as the wave needs are called on at once, since the demand is remembered for a while. And all VMs
+ * that lose power at once: nobody remembers the demand, callers come back together and each process
+ * is still cold, so that a daemon names several dispatchers until it can know how many are needed.
  */
 import type { Member } from '../membership/index.js';
 import type { Clock } from '../runtime/index.js';
@@ -16,6 +18,11 @@
 /** A demand is remembered for so long: until those that take it over have said what they carry. */
 const DEMAND_HOLD_MS = 5000;
 
+/** Dispatchers of a data centre, at least, as seen by a daemon that has just started. */
+const DISPATCHERS_AT_START = 3;
+/** Until then every dispatcher has told what it carries. */
+const START_MS = 5000;
+
 export type RosterSource = {
   readonly clock: Clock;
   /** Grows with every change of the members or of who can be reached. */
@@ -47,6 +54,8 @@
 
   readonly #minDispatchers: number;
 
+  readonly #startedAt: number;
+
   #revision = -1;
 
   /** When a remembered demand ends, so that fewer dispatchers may do. */
@@ -70,6 +79,7 @@
     this.#self = self;
     this.#minDispatchers = minDispatchers;
     this.#source = source;
+    this.#startedAt = source.clock.now();
   }
 
   /** This daemon's place among those of its data centre, 0 for the first; -1 if it has none. */
@@ -122,6 +132,10 @@
     return this.#bridges.has(id) || state === 'dead';
   }
 
+  get #isStarting(): boolean {
+    return this.#source.clock.now() < this.#startedAt + START_MS;
+  }
+
   #refresh(): void {
     const revision = this.#source.getRevision();
     if (revision === this.#revision && this.#source.clock.now() < this.#validUntil) return;
@@ -132,7 +146,8 @@
       names.map((name) => [name, this.#buildDataCentre(candidates, name)] as const),
     );
     const all = [...this.#dataCentres.values()];
-    this.#validUntil = Math.min(...all.map(({ demand }) => demand.until));
+    const ends = all.map(({ demand }) => demand.until);
+    this.#validUntil = Math.min(...ends, this.#isStarting ? this.#startedAt + START_MS : Infinity);
     this.#bridges = new Set(
       all.flatMap(({ ranked }) => ranked.slice(0, BRIDGES_PER_DATA_CENTRE)).map(({ id }) => id),
     );
@@ -146,7 +161,10 @@
     const ranked = rankDispatchers(candidates, name);
     const serving = ranked.filter(isServing);
     const demand = this.#computeDemand(serving, this.#dataCentres.get(name)?.demand);
-    const dispatchers = chooseDispatchers(serving, name, this.#minDispatchers, demand.rate);
+    const minCount = this.#isStarting
+      ? Math.max(DISPATCHERS_AT_START, this.#minDispatchers)
+      : this.#minDispatchers;
+    const dispatchers = chooseDispatchers(serving, name, minCount, demand.rate);
     return { ranked, dispatchers, demand };
   }
 
