--- a/packages/stand-ins/src/fault-proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.ts
@@ -26,6 +26,9 @@
 
   #links: readonly Link[] = [];
 
+  /** Also those that have outlived the other end of their link. */
+  readonly #sockets = new Set<Socket>();
+
   #faults: Readonly<Record<Direction, DirectionFault>> = { forward: 'none', backward: 'none' };
 
   #delayMs = 0;
@@ -43,6 +46,7 @@
 
   async stop(): Promise<void> {
     this.reset();
+    this.#sockets.forEach((socket) => socket.destroy());
     await new Promise((resolve) => {
       this.#server.close(resolve);
     });
@@ -110,7 +114,13 @@
         else near.end();
       }),
     );
-    [near, far].forEach((socket) => socket.on('close', end));
+    [near, far].forEach((socket) => {
+      this.#sockets.add(socket);
+      socket.on('close', () => {
+        this.#sockets.delete(socket);
+        end();
+      });
+    });
   }
 
   #pass(link: Link, direction: Direction, data: Buffer): void {
