Carry a member's capacity unrounded, and compute it as a whole number

Traced to the datagrams, which rounded a capacity of 337.5 to 338 while the daemon itself went on with 337.5: each strong VM ranked itself behind all others of its kind, and they ranked it first. So the reader did not take itself for one and asked nobody for help, dispatchers reported to the wrong peers, and callers were sent to different dispatchers by each. A member with such figures came back changed in a test (failed first).

--- a/packages/core/src/dispatchers/capacity.ts
+++ b/packages/core/src/dispatchers/capacity.ts
@@ -16,9 +16,12 @@
 const MS_PER_SECOND = 1000;
 const BYTES_PER_MEGABIT = 125_000;
 
-/** Requests a second at which the processor or the link is full. */
+/**
+ * Requests a second at which the processor or the link is full, as a whole number: daemons rank each
+ * other by it, so that it has to be the same for itself and for all that it is told to.
+ */
 export function computeCapacity({ cores, linkMegabitsPerSecond }: VmShape): number {
   const byProcessor = (cores * MS_PER_SECOND) / CORE_MS_PER_REQUEST;
   const byLink = (linkMegabitsPerSecond * BYTES_PER_MEGABIT) / LINK_BYTES_PER_REQUEST;
-  return Math.min(byProcessor, byLink);
+  return Math.max(1, Math.round(Math.min(byProcessor, byLink)));
 }
--- a/packages/core/src/dispatchers/choose-dispatchers.test.ts
+++ b/packages/core/src/dispatchers/choose-dispatchers.test.ts
@@ -95,5 +95,6 @@
     const wide = { linkMegabitsPerSecond: 1000 };
     expect(computeCapacity({ cores: 0.4, ...wide })).to.be.closeTo(100, 1);
     expect(computeCapacity({ cores: 1.35, linkMegabitsPerSecond: 10 })).to.equal(125);
+    expect(computeCapacity({ cores: 1.35, ...wide })).to.equal(338);
   });
 });
--- a/packages/gateway/src/datagrams/fleet-socket.test.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.test.ts
@@ -103,5 +103,8 @@
       load: 8,
     };
     expect(parseMember(formatMember(member))).to.deep.equal(member);
+    // Daemons rank each other by these figures: a rounded one would rank differently here and there.
+    const odd = { ...member, capacity: 337.5, load: 42.1875 };
+    expect(parseMember(formatMember(odd))).to.deep.equal(odd);
   });
 });
--- a/packages/gateway/src/datagrams/member-row.ts
+++ b/packages/gateway/src/datagrams/member-row.ts
@@ -34,8 +34,8 @@
     member.incarnation,
     member.version,
     STATES.indexOf(member.state),
-    Math.round(member.capacity),
-    Math.round(member.load),
+    member.capacity,
+    member.load,
   ];
 }
 
