Log and count what decides about an upstream's rate limit

Answers are now read for the limit, each change is a log line, each attempt at a limited upstream carries limit and age, and is counted by upstream. Nothing is decided by it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,3 +18,4 @@
 export * from './tables/index.js';
 export * from './failure-estimation/index.js';
 export * from './queueing/index.js';
+export * from './upstream-limits/index.js';
--- /dev/null
+++ b/packages/core/src/upstream-limits/index.ts
@@ -0,0 +1,6 @@
+export type {
+  KnownRateLimit,
+  RateLimitChange,
+  RateLimitStatement,
+} from './rate-limit-statement.js';
+export { UpstreamRateLimit } from './upstream-rate-limit.js';
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -2,7 +2,7 @@
  * Interfaces that a platform implements for the gateway. A dialect translates between the gateway's
  * types and the header and field names that a platform uses on the wire; it contains no decisions.
  */
-import type { RecordChanges } from '@baobabline/core';
+import type { RateLimitStatement, RecordChanges } from '@baobabline/core';
 
 /** Headers as Node.js provides them: names in lower case, repeated headers joined or as a list. */
 export type HeaderMap = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -29,6 +29,8 @@
   readonly load: { readonly running: number; readonly waiting: number } | undefined;
   /** How long the upstream keeps an idle connection, in milliseconds. */
   readonly keepAliveMs: number | undefined;
+  /** Rate limit that the upstream sets to the whole fleet, in requests per second. */
+  readonly rateLimit: RateLimitStatement;
 };
 
 /** What the gateway states in the headers of a request to an upstream. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -294,6 +294,8 @@
       onOutcome: (event) => this.#reports.recordOutcome(event),
       onTrustChange: (upstream, change) => this.#log.info('trust', { upstream, change }),
       onLinkChange: (upstream, change) => this.#log.info('link', { upstream, change }),
+      onRateLimitChange: (upstream, change) =>
+        this.#log.info('rate-limit', { upstream, ...change }),
       onLoadChange: () => this.#reports.recordLoad(),
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -49,13 +49,18 @@
   /** Records a step of a request; `now` is read from the daemon's clock, in milliseconds. */
   recordStep(request: RoutedRequest, step: RequestStep, now: number): void {
     const { service, arrivedAt, route } = request;
-    const { step: name, reason, status, attempt } = step;
+    const { step: name, reason, status, attempt, upstream, limitPerSecond } = step;
     if (name === 'sent') {
       this.#record(({ attempts, queueTimes: waits }) => {
         attempts.inc({ service, reason: String(reason) });
         if (attempt === 1) waits.observe({ service }, (now - arrivedAt) / MS_PER_SECOND);
       });
     }
+    if (name === 'sent' && limitPerSecond !== undefined) {
+      this.#record(({ limitedAttempts }) =>
+        limitedAttempts.inc({ service, upstream: String(upstream) }),
+      );
+    }
     if (FAILED_STEPS.includes(name)) this.#recordFailure(service, name);
     if (name === 'answered' && Number(status) >= SERVER_ERROR_STATUS) {
       this.#recordFailure(service, String(status));
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -16,6 +16,8 @@
   /** Remaining part of the retry budget, from 0 to 1. */
   readonly retryBudgetShare: number;
   readonly upstreams: Readonly<Record<UpstreamCondition, number>>;
+  /** Upstreams that have stated a rate limit, in any condition. */
+  readonly limitedUpstreams: number;
 };
 
 /** Values that are read each time metrics are collected. */
@@ -54,6 +56,12 @@
     ['service', 'reason'],
   );
 
+  readonly limitedAttempts = this.#createCounter(
+    'baobabline_limited_attempts_total',
+    'Requests sent to upstreams while these had a rate limit',
+    ['service', 'upstream'],
+  );
+
   readonly failures = this.#createCounter(
     'baobabline_attempt_failures_total',
     'Attempts without a good answer: by status of the answer, or by what came in its place',
@@ -126,6 +134,16 @@
           ),
         ),
     });
+    const limited: Gauge = new Gauge({
+      name: 'baobabline_limited_upstreams',
+      help: 'Upstreams that have stated a rate limit',
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () =>
+        listServices().forEach((row) =>
+          limited.set({ service: row.service }, row.limitedUpstreams),
+        ),
+    });
     const queued: Gauge = new Gauge({
       name: 'baobabline_waiting_requests',
       help: 'Requests that wait for room',
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -19,6 +19,7 @@
   isSigned: true,
   load: undefined,
   keepAliveMs: undefined,
+  rateLimit: undefined,
 };
 
 const dialect: HttpDialect = {
@@ -124,6 +125,7 @@
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
       onLinkChange: () => undefined,
+      onRateLimitChange: () => undefined,
     });
   }
 
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -208,6 +208,7 @@
       dataCentre: state.record.dataCentre,
       reason,
       attempt: this.#sentCount,
+      ...this.#describeRateLimit(state),
     });
     const head = this.#buildHead(upstreamId);
     const { dataCentre } = state.record;
@@ -225,6 +226,12 @@
     if (!isHedge) this.#scheduleHedge();
   }
 
+  /** What decided about the rate limit of an upstream, for the log; empty if it has none. */
+  #describeRateLimit({ rateLimit: { known } }: UpstreamState): Readonly<Record<string, number>> {
+    if (known.perSecond === undefined) return {};
+    return { limitPerSecond: known.perSecond, limitAgeMs: Math.round(this.#now - known.statedAt) };
+  }
+
   #buildHead(upstreamId: string): string {
     const timeLeftMs = Math.max(1, Math.floor(this.#timeLeft));
     const own = this.#dependencies.dialect.buildUpstreamHeaders({
@@ -291,6 +298,7 @@
     this.#record({ step: 'answered', upstream: upstreamId, status, elapsedMs, isLeaving });
     this.#dependencies.onBytes('answers', state.record.dataCentre, answer.bodyBytes);
     this.#scheduler.recordReach(upstreamId, true);
+    this.#scheduler.recordRateLimit(upstreamId, head.rateLimit, startedAt);
     if (head.isNotRun) {
       this.#handleNotRun(state, status);
       return;
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -15,6 +15,8 @@
   PlacementCandidate,
   PlacementChoice,
   RandomSource,
+  RateLimitChange,
+  RateLimitStatement,
   RegisteredUpstream,
   TrustChange,
   AttemptOutcome,
@@ -46,6 +48,8 @@
   readonly onAnswer: (judged: JudgedAnswer) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
+  /** Called when an upstream states another rate limit than before, or none any more. */
+  readonly onRateLimitChange: (upstreamId: string, change: RateLimitChange) => void;
 };
 
 /** The outcome of an answer, and how it changed the failure estimate of its upstream. */
@@ -159,6 +163,7 @@
       service: this.name,
       queuedRequests: this.#queue.size,
       retryBudgetShare: this.allowance.getShareLeft(),
+      limitedUpstreams: this.listUpstreams().filter(({ rateLimit }) => rateLimit.isLimited).length,
       upstreams: {
         trusted: count('trusted'),
         suspect: count('suspect'),
@@ -282,6 +287,14 @@
     if (change === 'trusted') this.serveQueue();
   }
 
+  /** Records the rate limit that an answer states; `sentAt` is when its request was sent. */
+  recordRateLimit(upstreamId: string, stated: RateLimitStatement, sentAt: number): void {
+    const { clock, onRateLimitChange } = this.#dependencies;
+    const state = this.#upstreams.get(upstreamId);
+    const change = state?.rateLimit.recordStatement(stated, sentAt, clock.now());
+    if (change) onRateLimitChange(upstreamId, change);
+  }
+
   recordAttemptTime(elapsedMs: number): void {
     this.#meanAttemptMs += (elapsedMs - this.#meanAttemptMs) * NEWEST_WEIGHT;
   }
--- a/packages/gateway/src/requests/upstream-state.ts
+++ b/packages/gateway/src/requests/upstream-state.ts
@@ -2,6 +2,7 @@
  * A dispatcher's state of one usable upstream: its record, its connection pool and the number of
  * requests in flight.
  */
+import { UpstreamRateLimit } from '@baobabline/core';
 import type { RegisteredUpstream } from '@baobabline/core';
 
 import { computeUpstreamHash } from '../reports/index.js';
@@ -18,6 +19,8 @@
 
   readonly pool: UpstreamPool;
 
+  readonly rateLimit = new UpstreamRateLimit();
+
   /** End of the warm-up after its start, in milliseconds of the daemon's clock. */
   readonly warmUntil: number;
 
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -11,6 +11,7 @@
   Clock,
   RandomSource,
   RegisteredUpstream,
+  RateLimitChange,
   Replica,
   Route,
   TrustChange,
@@ -47,6 +48,7 @@
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   /** Called when an upstream can no longer be reached from here, or again. */
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
+  readonly onRateLimitChange: (upstreamId: string, change: RateLimitChange) => void;
   readonly onLoadChange: () => void;
   /** Called with the bytes of a request or an answer, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
@@ -196,6 +198,7 @@
       onAnswer: (judged) => this.#handleAnswer(judged),
       onTrustChange: this.#ports.onTrustChange,
       onLinkChange: this.#ports.onLinkChange,
+      onRateLimitChange: this.#ports.onRateLimitChange,
     });
     this.#desks.set(name, desk);
     return desk;
--- a/packages/gateway/src/upstreams/upstream-connection.test.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.test.ts
@@ -15,6 +15,7 @@
     isSigned: true,
     load: undefined,
     keepAliveMs: undefined,
+    rateLimit: undefined,
   }),
   buildUpstreamHeaders: () => [],
 };
