Keep to the rate limits of upstreams, summed over the fleet

What callers saw: nothing yet; an upstream in need got 12 requests in four seconds where it takes 1 a second from all daemons together.

Cause: no daemon read the limit, and nothing bounds what several daemons send to one upstream at a rate. Class of fault: a bound on a sum over machines that no machine keeps.

Now the limit is divided among at most four dispatchers for each upstream, chosen by rendezvous hashing, without messages about permits: a daemon that sees part of the fleet uses only that part, a share falls at once and rises only after three seconds of the same view, and a daemon that has started or was suspended has none for that time. Each share is a bucket of one token that starts empty; first attempts, retries, hedges and tests of suspects all take from it. What upstreams stated is reported to the daemons of the own data centre and to the dispatchers of the others, so that those who are not chosen learn of limits and of their end. The admission of waiting requests counts only what the permitted rate can serve, so that the others are refused at once.

--- a/packages/core/src/upstream-limits/index.ts
+++ b/packages/core/src/upstream-limits/index.ts
@@ -1,3 +1,5 @@
+export { RateLimitShares } from './rate-limit-shares.js';
+export type { RateLimitSharesPorts, ShareMember } from './rate-limit-shares.js';
 export type {
   KnownRateLimit,
   RateLimitChange,
--- a/packages/core/src/upstream-limits/upstream-rate-limit.test.ts
+++ b/packages/core/src/upstream-limits/upstream-rate-limit.test.ts
@@ -35,7 +35,7 @@
   });
 
   it('ignores a report that is older than what is known', () => {
-    expect(limit.apply({ perSecond: 9, statedAt: 199 })).to.equal(undefined);
+    expect(limit.applyReport({ perSecond: 9, statedAt: 199 })).to.equal(undefined);
     expect(limit.known.perSecond).to.equal(2);
   });
 });
--- a/packages/gateway/src/datagrams/fleet-socket.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.ts
@@ -8,7 +8,14 @@
 
 /** The type of a datagram. */
 export type DatagramTag =
-  'report' | 'gossip' | 'gossip-answer' | 'probe' | 'probe-answer' | 'poll' | 'news';
+  | 'report'
+  | 'gossip'
+  | 'gossip-answer'
+  | 'probe'
+  | 'probe-answer'
+  | 'poll'
+  | 'news'
+  | 'rate-limits';
 
 const TAGS: readonly DatagramTag[] = [
   'report',
@@ -18,6 +25,7 @@
   'probe-answer',
   'poll',
   'news',
+  'rate-limits',
 ];
 
 /** Handles a datagram's body and its sender's address; returns whether the body was valid. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { RecordExchange } from './record-sync/index.js';
 import { createMetricsServer, GatewayMetrics } from './metrics/index.js';
 import { createPeerServer } from './peers/index.js';
+import { FleetRateLimits } from './rate-limits/index.js';
 import { RequestRecorder } from './request-recording/index.js';
 import { DispatcherReports, formatReport, ReportInbox } from './reports/index.js';
 import type { DispatcherReport, ReportAudience } from './reports/index.js';
@@ -64,6 +65,7 @@
   'probe-answer': 'membership',
   poll: 'records',
   news: 'records',
+  'rate-limits': 'reports',
 };
 
 export type GatewayPhase = 'joining' | 'serving' | 'leaving' | 'stopped';
@@ -91,6 +93,8 @@
 
   readonly #reports: DispatcherReports;
 
+  readonly #rateLimits: FleetRateLimits;
+
   readonly #fleetSocket: FleetSocket;
 
   /** Client for requests to other daemons. */
@@ -127,6 +131,14 @@
     this.#fleet = this.#createFleet();
     this.#recordExchange = this.#createRecordExchange();
     this.#reports = this.#createReports();
+    this.#rateLimits = new FleetRateLimits({
+      clock: this.#clock,
+      log: this.#log,
+      selfId: settings.id,
+      fleet: this.#fleet,
+      socket: this.#fleetSocket,
+      services: this.#services,
+    });
     this.#callerServer = this.#createCallerServer();
     this.#metrics = this.#createMetrics();
     this.#recorder = new RequestRecorder({
@@ -229,6 +241,7 @@
     this.#recordExchange.stop();
     this.#services.close();
     this.#reports.stop();
+    this.#rateLimits.stop();
     this.#fleetSocket.close();
     await this.#callerServer.close();
     await Promise.all(this.#servers.map(closeServer));
@@ -254,6 +267,7 @@
   #runSystemTick(): void {
     this.#recordExchange.runTick();
     this.#services.runTick();
+    this.#rateLimits.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
   }
 
@@ -294,8 +308,9 @@
       onOutcome: (event) => this.#reports.recordOutcome(event),
       onTrustChange: (upstream, change) => this.#log.info('trust', { upstream, change }),
       onLinkChange: (upstream, change) => this.#log.info('link', { upstream, change }),
-      onRateLimitChange: (upstream, change) =>
-        this.#log.info('rate-limit', { upstream, ...change }),
+      getRateLimitShare: (upstream) => this.#rateLimits.getShare(upstream),
+      onRateLimitChange: (upstream, change, source) =>
+        this.#rateLimits.recordChange(upstream, change, source),
       onLoadChange: () => this.#reports.recordLoad(),
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
--- /dev/null
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.ts
@@ -0,0 +1,109 @@
+/**
+ * Rate limits of upstreams across the fleet: this daemon's shares of them, and the exchange of what
+ * upstreams stated with other daemons.
+ */
+import { hashText, isPresent, RateLimitShares } from '@baobabline/core';
+import type { Clock, Member, RateLimitChange } from '@baobabline/core';
+import type { Log } from '@baobabline/daemon';
+
+import type { FleetSocket } from '../datagrams/index.js';
+import type { FleetLinks } from '../fleet/index.js';
+import { formatRateLimits, parseRateLimits } from './rate-limit-message.js';
+import type { ReportedRateLimit } from './rate-limit-message.js';
+import { RateLimitReports } from './rate-limit-reports.js';
+import type { UpstreamStatement } from './rate-limit-reports.js';
+
+/** The services whose upstreams may have rate limits. */
+export interface LimitedServices {
+  listOwnRateLimits(): readonly UpstreamStatement[];
+  applyRateLimits(limits: readonly ReportedRateLimit[]): void;
+}
+
+export type FleetRateLimitsDependencies = {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly selfId: string;
+  readonly fleet: FleetLinks;
+  readonly socket: FleetSocket;
+  readonly services: LimitedServices;
+};
+
+export class FleetRateLimits {
+  readonly #dependencies: FleetRateLimitsDependencies;
+
+  readonly #shares: RateLimitShares;
+
+  readonly #reports: RateLimitReports;
+
+  constructor(dependencies: FleetRateLimitsDependencies) {
+    this.#dependencies = dependencies;
+    const { clock, selfId, fleet, socket, services } = dependencies;
+    const { membership, roles } = fleet;
+    this.#shares = new RateLimitShares(selfId, {
+      clock,
+      getWallTime: () => Date.now(),
+      hash: hashText,
+      getRevision: () => membership.revision,
+      listMembers: () =>
+        membership.members.list().map((member) => ({
+          id: member.id,
+          dataCentre: member.dataCentre,
+          isPresent: isPresent(member),
+          hasLeft: member.state === 'left',
+        })),
+      listDispatchers: () => roles.listAllDispatchers(),
+    });
+    this.#reports = new RateLimitReports({
+      clock,
+      listOwnStatements: () => services.listOwnRateLimits(),
+      send: (limits) => this.#send(limits),
+    });
+    socket.setHandler('rate-limits', (body) => this.#accept(body));
+  }
+
+  /** Part of an upstream's rate limit that this daemon may use now, from 0 to 1. */
+  getShare(upstreamId: string): number {
+    return this.#shares.getShare(upstreamId);
+  }
+
+  /** Logs a change of an upstream's rate limit, and reports it if it came in an answer. */
+  recordChange(upstream: string, change: RateLimitChange, source: 'answer' | 'report'): void {
+    const share = this.getShare(upstream);
+    this.#dependencies.log.info('rate-limit', { upstream, ...change, source, share });
+    if (source === 'answer') this.#reports.recordChange();
+  }
+
+  runTick(): void {
+    this.#shares.refresh();
+  }
+
+  stop(): void {
+    this.#reports.stop();
+  }
+
+  #accept(body: Buffer): boolean {
+    const limits = parseRateLimits(body);
+    if (limits) this.#dependencies.services.applyRateLimits(limits);
+    return limits !== undefined;
+  }
+
+  #send(limits: readonly ReportedRateLimit[]): void {
+    const body = formatRateLimits(limits);
+    this.#listRecipients().forEach(({ address }) =>
+      this.#dependencies.socket.send('rate-limits', body, address),
+    );
+  }
+
+  /**
+   * The daemons of this data centre, which may all get requests of callers, and the dispatchers of
+   * the others.
+   */
+  #listRecipients(): readonly Member[] {
+    const { fleet, selfId } = this.#dependencies;
+    const { membership, roles } = fleet;
+    const { dataCentre } = membership.self;
+    const near = membership.listPresent().filter((one) => one.dataCentre === dataCentre);
+    const far = roles.listOtherDispatchers().filter((one) => one.dataCentre !== dataCentre);
+    return [...near.filter(({ id }) => id !== selfId), ...far];
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/rate-limits/rate-limit-reports.ts
@@ -0,0 +1,83 @@
+/**
+ * Reports the rate limits that upstreams stated in this daemon's answers to other daemons: changes
+ * almost at once, and limits in force again at intervals, for daemons that have started and for
+ * datagrams that were lost. Only the daemon with the newest statement of an upstream reports it.
+ */
+import type { Clock, KnownRateLimit } from '@baobabline/core';
+
+import type { ReportedRateLimit } from './rate-limit-message.js';
+import { computeUpstreamHash } from '../reports/index.js';
+
+export type UpstreamStatement = KnownRateLimit & { readonly upstreamId: string };
+
+export type RateLimitReportsDependencies = {
+  readonly clock: Clock;
+  /** What upstreams stated in this daemon's answers, unless another daemon knows something newer. */
+  readonly listOwnStatements: () => readonly UpstreamStatement[];
+  readonly send: (limits: readonly ReportedRateLimit[]) => void;
+};
+
+const CHANGE_DELAY_MS = 10;
+/** Bounds the reports about an upstream that changes its limit with each answer. */
+const MIN_INTERVAL_MS = 200;
+const REPEAT_INTERVAL_MS = 1000;
+/** The end of a limit is repeated for so long. */
+const ENDED_LIMIT_TTL_MS = 5000;
+/** As many as fit into one datagram. */
+const MAX_LIMITS = 64;
+
+export class RateLimitReports {
+  readonly #dependencies: RateLimitReportsDependencies;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #isChangePending = false;
+
+  #sentAt = Number.NEGATIVE_INFINITY;
+
+  constructor(dependencies: RateLimitReportsDependencies) {
+    this.#dependencies = dependencies;
+  }
+
+  /** Schedules a report after an answer has changed a rate limit. */
+  recordChange(): void {
+    if (this.#isChangePending) return;
+    this.#isChangePending = true;
+    const earliestMs = this.#sentAt + MIN_INTERVAL_MS - this.#dependencies.clock.now();
+    this.#schedule(Math.max(CHANGE_DELAY_MS, earliestMs));
+  }
+
+  stop(): void {
+    clearTimeout(this.#timer);
+  }
+
+  #schedule(delayMs: number): void {
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => this.#send(), delayMs);
+  }
+
+  #send(): void {
+    this.#isChangePending = false;
+    const { clock, listOwnStatements, send } = this.#dependencies;
+    const now = clock.now();
+    this.#sentAt = now;
+    const statements = listOwnStatements();
+    const current = statements
+      .filter(
+        ({ perSecond, statedAt }) => perSecond !== undefined || now - statedAt < ENDED_LIMIT_TTL_MS,
+      )
+      .sort((left, right) => right.statedAt - left.statedAt)
+      .slice(0, MAX_LIMITS);
+    if (current.length > 0) {
+      send(
+        current.map(({ upstreamId, perSecond, statedAt }) => ({
+          upstream: computeUpstreamHash(upstreamId),
+          perSecond,
+          ageMs: now - statedAt,
+        })),
+      );
+    }
+    // A daemon whose statements are outdated takes over again if it hears newer ones.
+    if (statements.length > 0) this.#schedule(REPEAT_INTERVAL_MS);
+  }
+}
--- a/packages/gateway/src/requests/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -1,18 +1,33 @@
 /**
- * A fleet of dispatchers in simulated time, for tests: each has a scheduler of its own, and all send to
- * the same simulated upstreams. Runs repeat for the same seed. The caller mocks `setTimeout`.
+ * A fleet in simulated time, for tests: each daemon has a scheduler and a view of the fleet of its
+ * own, and all send to the same simulated upstreams. In each data centre the daemon that has run the
+ * longest is the dispatcher. A daemon that is not heard is taken for dead after a while. Runs repeat
+ * for the same seed. The caller mocks `setTimeout`.
  */
-import { createRandom, DEFAULT_LINK_ESTIMATOR_SETTINGS, FailureEstimator } from '@baobabline/core';
+import {
+  createRandom,
+  DEFAULT_LINK_ESTIMATOR_SETTINGS,
+  FailureEstimator,
+  hashText,
+  RateLimitShares,
+} from '@baobabline/core';
 import type { RandomSource, RateLimitStatement, RegisteredUpstream, Route } from '@baobabline/core';
 
 import type { AnswerHead, HttpDialect } from '../dialect/index.js';
+import { computeUpstreamHash } from '../reports/index.js';
+import {
+  AttemptTimes,
+  PeerLoads,
+  RequestRun,
+  ServiceScheduler,
+  UpstreamState,
+} from '../requests/index.js';
+import type { RequestEnd, RoutedRequest } from '../requests/index.js';
 import type { EndHandler, ExchangeRequest, UpstreamPool } from '../upstreams/index.js';
-import { AttemptTimes } from './attempt-times.js';
-import { PeerLoads } from './peer-loads.js';
-import { RequestRun } from './request-run.js';
-import { ServiceScheduler } from './service-scheduler.js';
-import type { RequestEnd, RoutedRequest } from './types.js';
-import { UpstreamState } from './upstream-state.js';
+import type { ReportedRateLimit } from './rate-limit-message.js';
+import { RateLimitReports } from './rate-limit-reports.js';
+import type { UpstreamStatement } from './rate-limit-reports.js';
+import { SimulatedView } from './simulated-view.js';
 
 const WORK_MS = 60;
 const LINK_MS = 2;
@@ -22,6 +37,10 @@
 const SLOTS = 3;
 const OK_STATUS = 200;
 const MS_PER_SECOND = 1000;
+const REPORT_DELAY_MS = 5;
+const TICK_MS = 200;
+/** Wall-clock time at the start of the simulation. */
+const WALL_TIME_MS = 1_700_000_000_000;
 
 const HEAD: AnswerHead = {
   requestId: undefined,
@@ -60,8 +79,12 @@
 
 type SimulatedDaemon = {
   readonly id: string;
+  readonly startedAt: number;
   readonly scheduler: ServiceScheduler;
   readonly times: AttemptTimes;
+  readonly shares: RateLimitShares;
+  readonly reports: RateLimitReports;
+  readonly view: SimulatedView;
 };
 
 function buildRecord(id: string): RegisteredUpstream {
@@ -96,10 +119,18 @@
 
   #requestCount = 0;
 
+  /** Directions in which nothing passes between two daemons, as 'from to'. */
+  #cut: ReadonlySet<string> = new Set();
+
+  #left: readonly string[] = [];
+
+  #paused: readonly string[] = [];
+
   constructor(options: SimulatedFleetOptions) {
     this.#options = options;
     this.#random = createRandom(options.seed);
     options.daemons.forEach((id) => this.startDaemon(id));
+    this.#refreshViews();
   }
 
   get now(): number {
@@ -108,14 +139,83 @@
 
   /** Starts a daemon, or starts it anew without anything that it knew. */
   startDaemon(id: string): void {
-    const scheduler = this.#createScheduler(id);
-    this.#daemons.set(id, { id, scheduler, times: new AttemptTimes() });
+    this.killDaemon(id);
+    this.#left = this.#left.filter((one) => one !== id);
+    const view = new SimulatedView();
+    const shares = new RateLimitShares(id, {
+      clock: { now: () => this.#now },
+      getWallTime: () => WALL_TIME_MS + this.#now,
+      hash: hashText,
+      getRevision: () => view.revision,
+      listMembers: () => view.listMembers(),
+      listDispatchers: () => view.dispatchers,
+    });
+    const reports = new RateLimitReports({
+      clock: { now: () => this.#now },
+      listOwnStatements: () => this.#listOwnStatements(id),
+      send: (limits) => this.#sendReport(id, limits),
+    });
+    const scheduler = this.#createScheduler(id, shares, reports);
+    const times = new AttemptTimes();
+    const startedAt = this.#now;
+    this.#daemons.set(id, { id, startedAt, scheduler, times, shares, reports, view });
     scheduler.applyRecords(this.#options.upstreams.map(buildRecord));
   }
 
+  /** Ends a daemon at once; the others notice later. */
+  killDaemon(id: string): void {
+    this.#daemons.get(id)?.reports.stop();
+    this.#daemons.delete(id);
+  }
+
+  /** Ends a daemon that has told the others. */
+  stopDaemon(id: string): void {
+    this.killDaemon(id);
+    this.#left = [...this.#left, id];
+  }
+
+  /** Pauses a daemon; it knows nothing of the time that passes until it is resumed. */
+  pauseDaemon(id: string): void {
+    this.#paused = [...this.#paused, id];
+  }
+
+  resumeDaemon(id: string): void {
+    this.#paused = this.#paused.filter((one) => one !== id);
+  }
+
+  /** Cuts the fleet in parts that do not reach each other; all daemons in one part heal it. */
+  split(parts: readonly (readonly string[])[]): void {
+    const partOf = (id: string): number => parts.findIndex((part) => part.includes(id));
+    const { daemons } = this.#options;
+    const pairs = daemons.flatMap((from) => daemons.map((to) => [from, to] as const));
+    this.#cut = new Set(
+      pairs
+        .filter(([from, to]) => partOf(from) !== partOf(to))
+        .map(([from, to]) => `${from} ${to}`),
+    );
+  }
+
+  /** Cuts the way from some daemons to others, in this direction only. */
+  silence(from: readonly string[], to: readonly string[]): void {
+    this.#cut = new Set(from.flatMap((sender) => to.map((receiver) => `${sender} ${receiver}`)));
+  }
+
+  /** Whether a daemon takes itself for a dispatcher. */
+  isDispatcher(id: string): boolean {
+    return this.#daemons.get(id)?.view.dispatchers.some((one) => one.id === id) ?? false;
+  }
+
+  /** Daemons that run, paused ones not included. */
+  listRunning(): readonly string[] {
+    return [...this.#daemons.keys()].filter((id) => !this.#paused.includes(id));
+  }
+
   /** Advances the simulated time by one step; the caller advances its timers by the same. */
   advance(stepMs: number): void {
     this.#now += stepMs;
+    if (this.#now % TICK_MS !== 0) return;
+    this.#refreshViews();
+    this.listRunning().forEach((id) => this.#daemons.get(id)?.shares.refresh());
   }
 
   /** Lets requests arrive at a daemon at random during one step. */
@@ -129,7 +229,7 @@
     kind: Route['kind'] = this.#random.next() < 0.5 ? 'safe' : 'unsafe',
   ): void {
     const daemon = this.#daemons.get(daemonId);
-    if (!daemon) return;
+    if (!daemon || this.#paused.includes(daemonId)) return;
     const startedAt = this.#now;
     const run = new RequestRun(
       this.#buildRequest(kind),
@@ -162,7 +262,47 @@
     });
   }
 
-  #createScheduler(daemon: string): ServiceScheduler {
+  #refreshViews(): void {
+    const running = this.listRunning();
+    const order = [...running].sort(
+      (left, right) =>
+        (this.#daemons.get(left)?.startedAt ?? 0) - (this.#daemons.get(right)?.startedAt ?? 0),
+    );
+    running.forEach((id) => {
+      const heard = order.filter((other) => !this.#cut.has(`${other} ${id}`));
+      this.#daemons.get(id)?.view.apply(heard, this.#left, this.#now);
+    });
+  }
+
+  #listOwnStatements(daemonId: string): readonly UpstreamStatement[] {
+    const upstreams = this.#daemons.get(daemonId)?.scheduler.listUpstreams() ?? [];
+    return upstreams.flatMap(({ record, rateLimit: { ownStatement } }) =>
+      ownStatement ? [{ ...ownStatement, upstreamId: record.id }] : [],
+    );
+  }
+
+  #sendReport(from: string, limits: readonly ReportedRateLimit[]): void {
+    if (this.#paused.includes(from)) return;
+    const receivers = this.listRunning().filter(
+      (to) => to !== from && !this.#cut.has(`${from} ${to}`),
+    );
+    setTimeout(() => receivers.forEach((to) => this.#applyReport(to, limits)), REPORT_DELAY_MS);
+  }
+
+  #applyReport(daemonId: string, limits: readonly ReportedRateLimit[]): void {
+    const upstreams = this.#daemons.get(daemonId)?.scheduler.listUpstreams() ?? [];
+    limits.forEach(({ upstream, perSecond, ageMs }) =>
+      upstreams
+        .find(({ record }) => computeUpstreamHash(record.id) === upstream)
+        ?.rateLimit.applyReport({ perSecond, statedAt: this.#now - ageMs }),
+    );
+  }
+
+  #createScheduler(
+    daemon: string,
+    shares: RateLimitShares,
+    reports: RateLimitReports,
+  ): ServiceScheduler {
     const clock = { now: () => this.#now };
     return new ServiceScheduler('s', {
       clock,
@@ -177,7 +317,8 @@
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
       onLinkChange: () => undefined,
-      onRateLimitChange: () => undefined,
+      getRateLimitShare: (upstream) => shares.getShare(upstream),
+      onRateLimitChange: () => reports.recordChange(),
     });
   }
 
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -125,6 +125,7 @@
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
       onLinkChange: () => undefined,
+      getRateLimitShare: () => 1,
       onRateLimitChange: () => undefined,
     });
   }
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -191,7 +191,7 @@
     this.#isWaiting = false;
     this.#tried.add(upstreamId);
     this.#sentCount += 1;
-    state.recordStart();
+    this.#scheduler.recordStart(state);
     this.#dependencies.onLoadChange();
     const attempt: Attempt = {
       upstreamId,
@@ -208,7 +208,7 @@
       dataCentre: state.record.dataCentre,
       reason,
       attempt: this.#sentCount,
-      ...this.#describeRateLimit(state),
+      ...this.#scheduler.describeRateLimit(state),
     });
     const head = this.#buildHead(upstreamId);
     const { dataCentre } = state.record;
@@ -226,12 +226,6 @@
     if (!isHedge) this.#scheduleHedge();
   }
 
-  /** What decided about the rate limit of an upstream, for the log; empty if it has none. */
-  #describeRateLimit({ rateLimit: { known } }: UpstreamState): Readonly<Record<string, number>> {
-    if (known.perSecond === undefined) return {};
-    return { limitPerSecond: known.perSecond, limitAgeMs: Math.round(this.#now - known.statedAt) };
-  }
-
   #buildHead(upstreamId: string): string {
     const timeLeftMs = Math.max(1, Math.floor(this.#timeLeft));
     const own = this.#dependencies.dialect.buildUpstreamHeaders({
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -48,6 +48,8 @@
   readonly onAnswer: (judged: JudgedAnswer) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
+  /** Part of an upstream's rate limit that this dispatcher may use now, from 0 to 1. */
+  readonly getRateLimitShare: (upstreamId: string) => number;
   /** Called when an upstream states another rate limit than before, or none any more. */
   readonly onRateLimitChange: (upstreamId: string, change: RateLimitChange) => void;
 };
@@ -205,8 +207,36 @@
   }
 
   /** The state of the queue as a request joining it would find it, for the log. */
-  describeQueueState(request: QueuedRequest): QueueState {
-    return this.#computeQueueState(this.#queue.countAhead(request, this.#dependencies.clock.now()));
+  describeQueueState(request: QueuedRequest): QueueState & { readonly withoutPermit: number } {
+    const now = this.#dependencies.clock.now();
+    const withoutPermit = this.#listUsable(new Set()).filter(
+      (state) => !this.#hasPermit(state, now),
+    ).length;
+    return {
+      ...this.#computeQueueState(this.#queue.countAhead(request, now)),
+      withoutPermit,
+    };
+  }
+
+  /** Records that a request is sent to an upstream, which uses up a permit of its rate limit. */
+  recordStart(state: UpstreamState): void {
+    state.recordStart();
+    const { rateLimit, record } = state;
+    if (!rateLimit.isLimited) return;
+    const { clock, getRateLimitShare } = this.#dependencies;
+    rateLimit.recordStart(getRateLimitShare(record.id), clock.now());
+  }
+
+  /** What decides about the rate limit of an upstream, for the log; empty if it has none. */
+  describeRateLimit({ rateLimit, record }: UpstreamState): Readonly<Record<string, number>> {
+    const { perSecond, statedAt } = rateLimit.known;
+    if (perSecond === undefined) return {};
+    const { clock, getRateLimitShare } = this.#dependencies;
+    return {
+      limitPerSecond: perSecond,
+      limitAgeMs: Math.round(clock.now() - statedAt),
+      limitShare: getRateLimitShare(record.id),
+    };
   }
 
   /** Takes a hedge from the retry budget if enough of the budget is left. */
@@ -371,7 +401,10 @@
     };
   }
 
-  /** This dispatcher's share of the slots of trusted upstreams, by its share of requests in flight. */
+  /**
+   * This dispatcher's share of the slots of trusted upstreams, by its share of requests in flight. Of
+   * an upstream with a rate limit, only as many slots count as the permitted rate keeps busy.
+   */
   #computeRoom(now: number): number {
     const { trust, links } = this.#dependencies;
     const states = this.#listUsable(new Set());
@@ -379,10 +412,27 @@
       ({ record }) => !trust.isSuspect(record.id, now) && !links.isSuspect(record.id, now),
     );
     const counted = trusted.length > 0 ? trusted : states;
-    const slots = counted.reduce((sum, { record }) => sum + record.slots, 0);
-    const own = counted.reduce((sum, { inFlight }) => sum + inFlight, 0);
-    const all = counted.reduce((sum, state) => sum + this.#countInFlight(state), 0);
-    return all === 0 ? slots : (slots * Math.max(own, 1)) / Math.max(all, 1);
+    const limitedSlots = counted.reduce((sum, state) => sum + this.#countLimitedSlots(state), 0);
+    const unlimited = counted.filter(({ rateLimit }) => !rateLimit.isLimited);
+    const slots = unlimited.reduce((sum, { record }) => sum + record.slots, 0);
+    const own = unlimited.reduce((sum, { inFlight }) => sum + inFlight, 0);
+    const all = unlimited.reduce((sum, state) => sum + this.#countInFlight(state), 0);
+    const sharedSlots = all === 0 ? slots : (slots * Math.max(own, 1)) / Math.max(all, 1);
+    return sharedSlots + limitedSlots;
+  }
+
+  /** Slots that the permitted rate of a limited upstream keeps busy; 0 without a limit. */
+  #countLimitedSlots({ rateLimit, record }: UpstreamState): number {
+    if (!rateLimit.isLimited) return 0;
+    const share = this.#dependencies.getRateLimitShare(record.id);
+    const ratePerMs = rateLimit.computeRatePerMs(share) ?? 0;
+    return Math.min(record.slots, ratePerMs * this.#meanAttemptMs);
+  }
+
+  /** Whether the rate limit of an upstream, if it has one, permits one more request now. */
+  #hasPermit({ rateLimit, record }: UpstreamState, now: number): boolean {
+    if (!rateLimit.isLimited) return true;
+    return rateLimit.mayStart(this.#dependencies.getRateLimitShare(record.id), now);
   }
 
   /** Upstreams that may receive the request now: those of this data centre, or all. */
@@ -397,7 +447,8 @@
         (!isNearOnly || state.record.dataCentre === dataCentre) &&
         !state.isLeaving &&
         !excluded.has(state.record.id) &&
-        !state.isPaused(now),
+        !state.isPaused(now) &&
+        this.#hasPermit(state, now),
     );
     const reached = open.filter(({ record }) => !links.isSuspect(record.id, now));
     const usable = reached.length > 0 || isNearOnly ? reached : open;
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -19,6 +19,7 @@
 } from '@baobabline/core';
 
 import type { HttpDialect } from '../dialect/index.js';
+import type { ReportedRateLimit, UpstreamStatement } from '../rate-limits/index.js';
 import { computeUpstreamHash } from '../reports/index.js';
 import type { DispatcherReport } from '../reports/index.js';
 import {
@@ -48,7 +49,14 @@
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   /** Called when an upstream can no longer be reached from here, or again. */
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
-  readonly onRateLimitChange: (upstreamId: string, change: RateLimitChange) => void;
+  /** Part of an upstream's rate limit that this daemon may use now, from 0 to 1. */
+  readonly getRateLimitShare: (upstreamId: string) => number;
+  /** Called when an upstream's rate limit changes, by one of this daemon's answers or a report. */
+  readonly onRateLimitChange: (
+    upstreamId: string,
+    change: RateLimitChange,
+    source: 'answer' | 'report',
+  ) => void;
   readonly onLoadChange: () => void;
   /** Called with the bytes of a request or an answer, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
@@ -148,6 +156,26 @@
     });
   }
 
+  /** Upstreams whose newest known statement about a rate limit came in an answer to this daemon. */
+  listOwnRateLimits(): readonly UpstreamStatement[] {
+    return this.listDesks()
+      .flatMap((desk) => desk.listUpstreams())
+      .flatMap(({ record, rateLimit: { ownStatement } }) =>
+        ownStatement ? [{ ...ownStatement, upstreamId: record.id }] : [],
+      );
+  }
+
+  /** Applies the rate limits that another daemon reports. */
+  applyRateLimits(limits: readonly ReportedRateLimit[]): void {
+    const now = this.#ports.clock.now();
+    limits.forEach(({ upstream, perSecond, ageMs }) => {
+      const id = this.#reportNames.get(upstream);
+      const state = id === undefined ? undefined : this.#findUpstream(id);
+      const change = state?.rateLimit.applyReport({ perSecond, statedAt: now - ageMs });
+      if (id !== undefined && change) this.#ports.onRateLimitChange(id, change, 'report');
+    });
+  }
+
   runTick(): void {
     this.#desks.forEach((desk) => desk.runTick());
   }
@@ -156,6 +184,12 @@
     this.#desks.forEach((desk) => desk.applyRecords([]));
   }
 
+  #findUpstream(id: string): UpstreamState | undefined {
+    return this.listDesks()
+      .map((desk) => desk.find(id))
+      .find((state) => state !== undefined);
+  }
+
   #applyOutcome(upstreamId: string, isGood: boolean, at: number): void {
     const change = this.#trust.record({ upstreamId, isGood, at });
     if (change) this.#ports.onTrustChange(upstreamId, change);
@@ -198,7 +232,8 @@
       onAnswer: (judged) => this.#handleAnswer(judged),
       onTrustChange: this.#ports.onTrustChange,
       onLinkChange: this.#ports.onLinkChange,
-      onRateLimitChange: this.#ports.onRateLimitChange,
+      getRateLimitShare: this.#ports.getRateLimitShare,
+      onRateLimitChange: (id, change) => this.#ports.onRateLimitChange(id, change, 'answer'),
     });
     this.#desks.set(name, desk);
     return desk;
