--- a/packages/core/src/upstream-limits/rate-limit-shares.ts
+++ b/packages/core/src/upstream-limits/rate-limit-shares.ts
@@ -6,7 +6,8 @@
  * For each upstream a few of the dispatchers are chosen by rendezvous hashing; each of them may use
  * an equal share of the rate, all others none. What keeps the sum of all shares at the limit:
  * - A daemon that is cut off from others uses only the part of the fleet that it sees. Daemons that
- *   disappeared without leaving count as part of the fleet for as long as a partition may last.
+ *   disappeared without leaving count as part of the fleet for as long as a partition may last, and
+ *   so do seeds that a daemon has not found since its start: it may have started in a partition.
  * - A share falls at once, and rises only after this daemon's view of the fleet has called for it
  *   for some seconds: by then those that must use less have heard of it.
  * - A daemon that has just started or was suspended has no share for the same time.
@@ -31,6 +32,8 @@
   /** Increases with every change of the members. */
   readonly getRevision: () => number;
   readonly listMembers: () => readonly ShareMember[];
+  /** Addresses of configured seeds at which no member is known. */
+  readonly listUnknownSeeds: () => readonly string[];
   /** All dispatchers, this daemon included if it is one; the same list until it changes. */
   readonly listDispatchers: () => readonly { readonly id: string }[];
 };
@@ -65,6 +68,13 @@
 
   readonly #seenMembers = new Map<string, SeenMember>();
 
+  readonly #foundSeeds = new Set<string>();
+
+  /** Seeds that were unknown at the last look. */
+  #unknownSeeds: readonly string[] = [];
+
+  readonly #startedAt: number;
+
   /** Views that still count, oldest first. */
   #views: readonly FleetView[] = [];
 
@@ -80,7 +90,8 @@
   constructor(selfId: string, ports: RateLimitSharesPorts) {
     this.#selfId = selfId;
     this.#ports = ports;
-    this.#runningSince = ports.clock.now();
+    this.#startedAt = ports.clock.now();
+    this.#runningSince = this.#startedAt;
     this.#refreshed = { at: this.#runningSince, wallTime: ports.getWallTime() };
   }
 
@@ -141,7 +152,8 @@
 
   /**
    * The mean over the data centres of the part of their daemons that is present. Every data centre
-   * weighs the same, since a daemon knows only some of the members of the others.
+   * weighs the same, since a daemon knows only some of the members of the others. A seed that was
+   * never found weighs like a data centre that is lost.
    */
   #computeVisiblePart(now: number): number {
     const members = this.#ports.listMembers();
@@ -158,6 +170,17 @@
       const inside = seen.filter(({ dataCentre }) => dataCentre === name);
       return inside.filter(({ seenAt }) => seenAt === now).length / inside.length;
     });
-    return parts.reduce((sum, part) => sum + part, 0) / Math.max(1, parts.length);
+    const weight = parts.length + this.#countLostSeeds(now);
+    return parts.reduce((sum, part) => sum + part, 0) / Math.max(1, weight);
+  }
+
+  #countLostSeeds(now: number): number {
+    const unknown = this.#ports.listUnknownSeeds();
+    this.#unknownSeeds
+      .filter((seed) => !unknown.includes(seed))
+      .forEach((seed) => this.#foundSeeds.add(seed));
+    this.#unknownSeeds = unknown;
+    if (now > this.#startedAt + PARTITION_MEMORY_MS) return 0;
+    return unknown.filter((seed) => !this.#foundSeeds.has(seed)).length;
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,6 +135,7 @@
       clock: this.#clock,
       log: this.#log,
       selfId: settings.id,
+      seeds: settings.seeds.map(({ address }) => address),
       fleet: this.#fleet,
       socket: this.#fleetSocket,
       services: this.#services,
--- a/packages/gateway/src/rate-limits/fleet-rate-limits.ts
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.ts
@@ -23,6 +23,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly selfId: string;
+  /** Addresses of the daemons that are contacted first. */
+  readonly seeds: readonly string[];
   readonly fleet: FleetLinks;
   readonly socket: FleetSocket;
   readonly services: LimitedServices;
@@ -37,7 +39,7 @@
 
   constructor(dependencies: FleetRateLimitsDependencies) {
     this.#dependencies = dependencies;
-    const { clock, selfId, fleet, socket, services } = dependencies;
+    const { clock, selfId, seeds, fleet, socket, services } = dependencies;
     const { membership, roles } = fleet;
     this.#shares = new RateLimitShares(selfId, {
       clock,
@@ -51,6 +53,10 @@
           isPresent: isPresent(member),
           hasLeft: member.state === 'left',
         })),
+      listUnknownSeeds: () => {
+        const known = new Set(membership.members.list().map(({ address }) => address));
+        return seeds.filter((address) => !known.has(address));
+      },
       listDispatchers: () => roles.listAllDispatchers(),
     });
     this.#reports = new RateLimitReports({
--- a/packages/gateway/src/rate-limits/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -73,6 +73,8 @@
   readonly seed: number;
   readonly daemons: readonly string[];
   readonly upstreams: readonly string[];
+  /** Daemons that are contacted first. */
+  readonly seeds?: readonly string[];
   /** The rate limit that an upstream states in an answer, at a time of the simulation. */
   readonly getStatement: (upstream: string, now: number) => RateLimitStatement;
 };
@@ -148,6 +150,7 @@
       hash: hashText,
       getRevision: () => view.revision,
       listMembers: () => view.listMembers(),
+      listUnknownSeeds: () => view.listUnknown(this.#options.seeds ?? []),
       listDispatchers: () => view.dispatchers,
     });
     const reports = new RateLimitReports({
--- a/packages/gateway/src/rate-limits/simulated-view.ts
+++ b/packages/gateway/src/rate-limits/simulated-view.ts
@@ -25,6 +25,10 @@
     return this.#dispatchers;
   }
 
+  listUnknown(ids: readonly string[]): readonly string[] {
+    return ids.filter((id) => !this.#heardAt.has(id));
+  }
+
   listMembers(): readonly ShareMember[] {
     return [...this.#heardAt.keys()].map((id) => ({
       id,
