Repeat reports of rate limits from whichever daemon heard them last

A daemon that knew a limit by a report and then heard the same in an answer never repeated it; once the first reporter was gone, daemons that started were told by nobody. Repeats now follow from what a daemon has heard itself. Shares of a view are computed once per upstream: with more than four dispatchers each candidate cost a hash for each of them.

--- a/packages/core/src/upstream-limits/rate-limit-shares.ts
+++ b/packages/core/src/upstream-limits/rate-limit-shares.ts
@@ -44,6 +44,8 @@
   readonly dispatchers: readonly string[];
   /** Part of the fleet that this daemon sees, from 0 to 1. */
   readonly visiblePart: number;
+  /** Shares that were computed, by upstream. */
+  readonly shares: Map<string, number>;
 };
 
 type SeenMember = { readonly dataCentre: string; readonly seenAt: number };
@@ -99,7 +101,7 @@
   getShare(upstreamId: string): number {
     this.refresh();
     if (this.#ports.clock.now() < this.#runningSince + SETTLE_MS) return 0;
-    return Math.min(...this.#views.map((view) => this.#computeShare(view, upstreamId)));
+    return Math.min(...this.#views.map((view) => this.#findShare(view, upstreamId)));
   }
 
   /** Brings the view of the fleet up to date; to be called several times a second. */
@@ -128,7 +130,8 @@
     const visiblePart = this.#computeVisiblePart(now);
     const last = this.#views.at(-1);
     const isKnown = last?.visiblePart === visiblePart && isSameList(last.dispatchers, dispatchers);
-    if (!isKnown) this.#views = [...this.#views, { since: now, dispatchers, visiblePart }];
+    if (!isKnown)
+      this.#views = [...this.#views, { since: now, dispatchers, visiblePart, shares: new Map() }];
   }
 
   /** Drops the views that were replaced before the settle time. */
@@ -139,6 +142,14 @@
     });
   }
 
+  #findShare(view: FleetView, upstreamId: string): number {
+    const known = view.shares.get(upstreamId);
+    if (known !== undefined) return known;
+    const share = this.#computeShare(view, upstreamId);
+    view.shares.set(upstreamId, share);
+    return share;
+  }
+
   #computeShare({ dispatchers, visiblePart }: FleetView, upstreamId: string): number {
     if (!dispatchers.includes(this.#selfId)) return 0;
     const count = Math.min(dispatchers.length, MAX_DAEMONS_PER_UPSTREAM);
--- a/packages/gateway/src/rate-limits/fleet-rate-limits.ts
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.ts
@@ -81,6 +81,7 @@
 
   runTick(): void {
     this.#shares.refresh();
+    this.#reports.runTick();
   }
 
   stop(): void {
--- a/packages/gateway/src/rate-limits/rate-limit-reports.ts
+++ b/packages/gateway/src/rate-limits/rate-limit-reports.ts
@@ -29,10 +29,9 @@
 export class RateLimitReports {
   readonly #dependencies: RateLimitReportsDependencies;
 
+  /** Set while a changed limit waits to be reported. */
   #timer: NodeJS.Timeout | undefined;
 
-  #isChangePending = false;
-
   #sentAt = Number.NEGATIVE_INFINITY;
 
   constructor(dependencies: RateLimitReportsDependencies) {
@@ -41,28 +40,26 @@
 
   /** Schedules a report after an answer has changed a rate limit. */
   recordChange(): void {
-    if (this.#isChangePending) return;
-    this.#isChangePending = true;
     const earliestMs = this.#sentAt + MIN_INTERVAL_MS - this.#dependencies.clock.now();
-    this.#schedule(Math.max(CHANGE_DELAY_MS, earliestMs));
+    this.#timer ??= setTimeout(() => this.#send(), Math.max(CHANGE_DELAY_MS, earliestMs));
   }
 
-  stop(): void {
-    clearTimeout(this.#timer);
+  /** Repeats the report if it is due; to be called several times a second. */
+  runTick(): void {
+    if (this.#dependencies.clock.now() - this.#sentAt >= REPEAT_INTERVAL_MS) this.#send();
   }
 
-  #schedule(delayMs: number): void {
+  stop(): void {
     clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => this.#send(), delayMs);
   }
 
   #send(): void {
-    this.#isChangePending = false;
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
     const { clock, listOwnStatements, send } = this.#dependencies;
     const now = clock.now();
     this.#sentAt = now;
-    const statements = listOwnStatements();
-    const current = statements
+    const current = [...listOwnStatements()]
       .filter(
         ({ perSecond, statedAt }) => perSecond !== undefined || now - statedAt < ENDED_LIMIT_TTL_MS,
       )
@@ -77,7 +74,5 @@
         })),
       );
     }
-    // A daemon whose statements are outdated takes over again if it hears newer ones.
-    if (statements.length > 0) this.#schedule(REPEAT_INTERVAL_MS);
   }
 }
--- a/packages/gateway/src/rate-limits/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -218,7 +218,10 @@
     this.#now += stepMs;
     if (this.#now % TICK_MS !== 0) return;
     this.#refreshViews();
-    this.listRunning().forEach((id) => this.#daemons.get(id)?.shares.refresh());
+    this.listRunning().forEach((id) => {
+      this.#daemons.get(id)?.shares.refresh();
+      this.#daemons.get(id)?.reports.runTick();
+    });
   }
 
   /** Lets requests arrive at a daemon at random during one step. */
