Divide the retry slack by the whole fleet, also where a daemon knows only a part of it

What callers saw: nothing yet. Cause: the slack is divided by the members known, and a daemon that has joined knows all of its own data centre but six of each other. Fleets of up to 64 daemons divide by 64 as before.

--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,3 +1,4 @@
+export { computeExpectedFleetSize } from './expected-fleet-size.js';
 export { Membership } from './membership.js';
 export { isNewerMember, isPresent, isServing } from './compare-members.js';
 export { DEFAULT_MEMBERSHIP_SETTINGS } from './types.js';
--- a/packages/core/src/retries/sliding-window-retry-budget.test.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 
+import { computeExpectedFleetSize } from '../membership/index.js';
 import { createRandom } from '../runtime/index.js';
 import { SlidingWindowRetryBudget } from './index.js';
 
@@ -10,7 +11,12 @@
 type Event = { readonly at: number; readonly isRetry: boolean };
 
 /** Simulates daemons that try to retry every request; now and then a daemon restarts. */
-function simulateShedding(daemonCount: number, seed: number, fleetSlack = SLACK): readonly Event[] {
+function simulateShedding(
+  daemonCount: number,
+  seed: number,
+  fleetSlack = SLACK,
+  countDaemons = (): number => Math.max(64, daemonCount),
+): readonly Event[] {
   const random = createRandom(seed);
   let now = 0;
   const clock = { now: () => now };
@@ -18,7 +24,7 @@
     windowMs: WINDOW_MS,
     ratio: RATIO,
     fleetSlack,
-    countDaemons: () => Math.max(64, daemonCount),
+    countDaemons,
   };
   const daemons = Array.from(
     { length: daemonCount },
@@ -66,6 +72,16 @@
     expect(computeExcess(simulateShedding(293, 4, fleetSlack), fleetSlack)).to.be.at.most(0);
   });
 
+  it('keeps the bound if daemons know their own data centre and few of the others', () => {
+    const fleetSlack = 430;
+    const members = [59, 6, 6, 6, 6].flatMap((count, dataCentre) =>
+      Array.from({ length: count }, () => ({ dataCentre: `z${dataCentre}` })),
+    );
+    const countDaemons = (): number => Math.max(64, computeExpectedFleetSize(members));
+    const events = simulateShedding(293, 4, fleetSlack, countDaemons);
+    expect(computeExcess(events, fleetSlack)).to.be.at.most(0);
+  });
+
   it('grows with the accepted requests and frees used retries as the window slides', () => {
     let now = 0;
     const budget = new SlidingWindowRetryBudget(
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -5,6 +5,7 @@
 import {
   chooseDispatchersForCaller,
   computeCapacity,
+  computeExpectedFleetSize,
   DEFAULT_MEMBERSHIP_SETTINGS,
   FleetRoles,
   hashText,
@@ -64,6 +65,8 @@
 
   #mappedMemberCount = -1;
 
+  #expectedSize = { revision: -1, count: 0 };
+
   constructor(dependencies: FleetLinksDependencies) {
     this.#dependencies = dependencies;
     const { clock, random, settings } = dependencies;
@@ -145,6 +148,16 @@
     );
   }
 
+  /** Counts the daemons that may exist, those included that this daemon does not know yet. */
+  countExpectedDaemons(): number {
+    const { members } = this.membership;
+    if (this.#expectedSize.revision !== members.revision) {
+      const count = computeExpectedFleetSize(members.list());
+      this.#expectedSize = { revision: members.revision, count };
+    }
+    return this.#expectedSize.count;
+  }
+
   /** Whether the daemon at an address is in this daemon's data centre. */
   isNear(address: string): boolean {
     const { members } = this.membership;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -303,7 +303,7 @@
       settings: this.#settings,
       dialect: this.#platform.http,
       replica: this.#replica,
-      countDaemons: () => Math.max(MIN_DAEMON_COUNT, this.#fleet.membership.members.size),
+      countDaemons: () => Math.max(MIN_DAEMON_COUNT, this.#fleet.countExpectedDaemons()),
       hasDispatcher: (dataCentre) => this.#fleet.roles.listDispatchers(dataCentre).length > 0,
       onStep: (request, step) => this.#recorder.recordStep(request, step),
       onOutcome: (event) => this.#reports.recordOutcome(event),
