--- a/packages/gateway/src/rate-limits/fleet-rate-limits.test.ts
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.test.ts
@@ -22,6 +22,8 @@
 const DATA_CENTRES = [FLEET.slice(0, 3), FLEET.slice(3, 6), FLEET.slice(6)];
 const SEEDS = ['a-1', 'b-1', 'c-1'];
 const DISPATCHER_RATE = 30;
+/** More than the slots of all upstreams serve. */
+const OVERLOAD_RATE = 150;
 /** Requests per second at a daemon that is no dispatcher. */
 const OTHER_RATE = 0.5;
 
@@ -164,6 +166,16 @@
     expect(refused.every(({ waitedMs }) => waitedMs <= MAX_REFUSAL_MS)).to.equal(true);
   });
 
+  it('keeps a limited upstream in use while the others are overloaded', () => {
+    const fleet = createFleet({ u1: 2 });
+    run(fleet, 20_000, () =>
+      DAEMONS.forEach((id) => fleet.drawRequests(id, OVERLOAD_RATE, STEP_MS)),
+    );
+    expect(fleet.ends.some(({ end }) => end.kind === 'refused')).to.equal(true);
+    expect(countBetween(fleet, 'u1', 10_000, 20_000)).to.be.greaterThan(0.75 * 20);
+    expect(countMostOfAll(fleet, 'u1')).to.be.at.most(computeAllowed(2));
+  });
+
   it('leaves callers to the other upstreams', () => {
     const fleet = createFleet({ u1: 1 });
     runLoad(fleet, 20_000);
--- a/packages/gateway/src/rate-limits/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -11,9 +11,8 @@
   hashText,
   RateLimitShares,
 } from '@baobabline/core';
-import type { RandomSource, RateLimitStatement, RegisteredUpstream, Route } from '@baobabline/core';
+import type { RandomSource, RateLimitStatement, Route } from '@baobabline/core';
 
-import type { AnswerHead, HttpDialect } from '../dialect/index.js';
 import { computeUpstreamHash } from '../reports/index.js';
 import {
   AttemptTimes,
@@ -22,6 +21,12 @@
   ServiceScheduler,
   UpstreamState,
 } from '../requests/index.js';
+import {
+  buildAnswerEnd,
+  buildRoutedRequest,
+  buildUpstreamRecord,
+  PLAIN_DIALECT,
+} from '../requests/request-fixtures.js';
 import type { RequestEnd, RoutedRequest } from '../requests/index.js';
 import type { EndHandler, ExchangeRequest, UpstreamPool } from '../upstreams/index.js';
 import type { ReportedRateLimit } from './rate-limit-message.js';
@@ -31,9 +36,8 @@
 
 const WORK_MS = 60;
 const LINK_MS = 2;
-const MAX_ATTEMPTS = 2;
 const TIMEOUT_MS = 1500;
-const CALLER_TIMEOUT_MS = 2000;
+const TARGET_LATENCY_MS = 500;
 const SLOTS = 3;
 const OK_STATUS = 200;
 const MS_PER_SECOND = 1000;
@@ -42,22 +46,6 @@
 /** Wall-clock time at the start of the simulation. */
 const WALL_TIME_MS = 1_700_000_000_000;
 
-const HEAD: AnswerHead = {
-  requestId: undefined,
-  isNotRun: false,
-  isSigned: true,
-  load: undefined,
-  keepAliveMs: undefined,
-  rateLimit: undefined,
-};
-
-const dialect: HttpDialect = {
-  ownHeaders: new Set(),
-  readCallerHead: () => ({ requestId: undefined, timeAllowedMs: undefined }),
-  readAnswerHead: () => HEAD,
-  buildUpstreamHeaders: () => [],
-};
-
 /** A request as it reached an upstream, in milliseconds of simulated time. */
 export type Arrival = { readonly at: number; readonly daemon: string; readonly upstream: string };
 
@@ -89,20 +77,6 @@
   readonly view: SimulatedView;
 };
 
-function buildRecord(id: string): RegisteredUpstream {
-  return {
-    id,
-    service: 's',
-    address: '10.0.0.1',
-    port: 80,
-    dataCentre: 'z1',
-    slots: SLOTS,
-    state: 'ready',
-    warmUpMs: 0,
-    bornAt: 1,
-  };
-}
-
 export class SimulatedFleet {
   readonly arrivals: Arrival[] = [];
 
@@ -162,7 +136,9 @@
     const times = new AttemptTimes();
     const startedAt = this.#now;
     this.#daemons.set(id, { id, startedAt, scheduler, times, shares, reports, view });
-    scheduler.applyRecords(this.#options.upstreams.map(buildRecord));
+    scheduler.applyRecords(
+      this.#options.upstreams.map((upstream) => buildUpstreamRecord(upstream, SLOTS)),
+    );
   }
 
   /** Ends a daemon at once; the others notice later. */
@@ -243,7 +219,7 @@
       {
         clock: { now: () => this.#now },
         random: this.#random,
-        dialect,
+        dialect: PLAIN_DIALECT,
         times: daemon.times,
         onLoadChange: () => undefined,
         onBytes: () => undefined,
@@ -354,45 +330,14 @@
     if (rateLimit !== undefined && !this.#firstStatedAt.has(key)) {
       this.#firstStatedAt.set(key, this.#now);
     }
-    onEnd({
-      kind: 'answered',
-      isLeaving: false,
-      answer: {
-        status: OK_STATUS,
-        statusText: '',
-        headers: [],
-        body: [],
-        bodyBytes: 0,
-        head: { ...HEAD, rateLimit },
-      },
-    });
+    onEnd(buildAnswerEnd(OK_STATUS, { rateLimit }));
   }
 
   #buildRequest(kind: Route['kind']): RoutedRequest {
     this.#requestCount += 1;
-    const route: Route = {
-      id: 'r',
-      host: 'h',
-      prefix: '/',
-      kind,
-      parts: [{ service: 's', weight: 1 }],
+    return buildRoutedRequest(`req-${this.#requestCount}`, this.#now, kind, {
       timeoutMs: TIMEOUT_MS,
-      targetLatencyMs: 500,
-      maxAttempts: MAX_ATTEMPTS,
-      priority: 0,
-    };
-    return {
-      id: `req-${this.#requestCount}`,
-      route,
-      service: 's',
-      method: 'GET',
-      target: '/',
-      headers: [],
-      body: [],
-      bodyBytes: 0,
-      arrivedAt: this.#now,
-      callerEndAt: this.#now + CALLER_TIMEOUT_MS,
-      endAt: this.#now + TIMEOUT_MS,
-    };
+      targetLatencyMs: TARGET_LATENCY_MS,
+    });
   }
 }
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -2,66 +2,26 @@
 import { mock } from 'node:test';
 
 import { createRandom, DEFAULT_LINK_ESTIMATOR_SETTINGS, FailureEstimator } from '@baobabline/core';
-import type { RegisteredUpstream, Route } from '@baobabline/core';
+import type { Route } from '@baobabline/core';
 
-import type { AnswerHead, HttpDialect } from '../dialect/index.js';
 import type { EndHandler, ExchangeEnd, ProbeHandler, UpstreamPool } from '../upstreams/index.js';
 import { AttemptTimes } from './attempt-times.js';
 import { PeerLoads } from './peer-loads.js';
+import {
+  buildAnswerEnd,
+  buildRoutedRequest,
+  buildUpstreamRecord,
+  PLAIN_DIALECT,
+} from './request-fixtures.js';
 import { RequestRun } from './request-run.js';
 import { ServiceScheduler } from './service-scheduler.js';
-import type { RequestEnd, RoutedRequest } from './types.js';
+import type { RequestEnd } from './types.js';
 import { UpstreamState } from './upstream-state.js';
 
-const HEAD: AnswerHead = {
-  requestId: undefined,
-  isNotRun: false,
-  isSigned: true,
-  load: undefined,
-  keepAliveMs: undefined,
-  rateLimit: undefined,
-};
-
-const dialect: HttpDialect = {
-  ownHeaders: new Set(),
-  readCallerHead: () => ({ requestId: undefined, timeAllowedMs: undefined }),
-  readAnswerHead: () => HEAD,
-  buildUpstreamHeaders: () => [],
-};
-
-function buildEnd(status: number, head: Partial<AnswerHead> = {}): ExchangeEnd {
-  return {
-    kind: 'answered',
-    isLeaving: false,
-    answer: {
-      status,
-      statusText: '',
-      headers: [],
-      body: [],
-      bodyBytes: 0,
-      head: { ...HEAD, ...head },
-    },
-  };
-}
-
-const SHED = buildEnd(503, { isNotRun: true, isSigned: false });
+const SHED = buildAnswerEnd(503, { isNotRun: true, isSigned: false });
 const LOST: ExchangeEnd = { kind: 'lost', reason: 'reset' };
 const UNSENT: ExchangeEnd = { kind: 'unsent', reason: 'refused' };
 
-function buildUpstream(id: string): RegisteredUpstream {
-  return {
-    id,
-    service: 's',
-    address: '10.0.0.1',
-    port: 80,
-    dataCentre: 'z1',
-    slots: 1,
-    state: 'ready',
-    warmUpMs: 0,
-    bornAt: 1,
-  };
-}
-
 type Reaction = ExchangeEnd | 'hang';
 
 const STEP_MS = 5;
@@ -140,44 +100,23 @@
     ends = [];
     reactions = {};
     desk = createDesk(100);
-    desk.applyRecords([buildUpstream('u1'), buildUpstream('u2'), buildUpstream('u3')]);
+    desk.applyRecords([
+      buildUpstreamRecord('u1'),
+      buildUpstreamRecord('u2'),
+      buildUpstreamRecord('u3'),
+    ]);
   });
 
   function start(kind: Route['kind'], changes: Partial<Route> = {}): RequestRun {
-    const arrivedAt = now;
     count += 1;
-    const route: Route = {
-      id: 'r',
-      host: 'h',
-      prefix: '/',
-      kind,
-      parts: [{ service: 's', weight: 1 }],
-      timeoutMs: 250,
-      targetLatencyMs: 100,
-      maxAttempts: 2,
-      priority: 0,
-      ...changes,
-    };
-    const request: RoutedRequest = {
-      id: `req-${count}`,
-      route,
-      service: 's',
-      method: 'GET',
-      target: '/',
-      headers: [],
-      body: [],
-      bodyBytes: 0,
-      arrivedAt,
-      callerEndAt: arrivedAt + 2000,
-      endAt: arrivedAt + route.timeoutMs,
-    };
+    const request = buildRoutedRequest(`req-${count}`, now, kind, changes);
     const run = new RequestRun(
       request,
       desk,
       {
         clock,
         random: createRandom(3),
-        dialect,
+        dialect: PLAIN_DIALECT,
         times: new AttemptTimes(),
         onLoadChange: () => undefined,
         onBytes: () => undefined,
@@ -210,7 +149,7 @@
   });
 
   it("passes on an upstream's own failure as it came, and repeats it only where it is safe", async () => {
-    setAll(buildEnd(500));
+    setAll(buildAnswerEnd(500));
     start('upload');
     await wait(20);
     expect([sent.length, describeEnd()]).to.deep.equal([1, 'answered 500']);
@@ -221,7 +160,7 @@
   });
 
   it('never passes on as not run what an upstream does not state so', async () => {
-    setAll(buildEnd(503));
+    setAll(buildAnswerEnd(503));
     start('unsafe');
     await wait(20);
     expect(describeEnd()).to.equal('502 unknown');
@@ -236,7 +175,7 @@
     sent = [];
     ends = [];
     desk = createDesk(0);
-    desk.applyRecords([buildUpstream('u1'), buildUpstream('u2')]);
+    desk.applyRecords([buildUpstreamRecord('u1'), buildUpstreamRecord('u2')]);
     start('unsafe');
     await wait(20);
     expect([sent.length, describeEnd()]).to.deep.equal([1, '503 not-run']);
@@ -244,15 +183,19 @@
 
   it('pays nothing for an upstream that could not be reached', async () => {
     desk = createDesk(0);
-    desk.applyRecords([buildUpstream('u1'), buildUpstream('u2'), buildUpstream('u3')]);
-    reactions = { u1: UNSENT, u2: UNSENT, u3: buildEnd(200) };
+    desk.applyRecords([
+      buildUpstreamRecord('u1'),
+      buildUpstreamRecord('u2'),
+      buildUpstreamRecord('u3'),
+    ]);
+    reactions = { u1: UNSENT, u2: UNSENT, u3: buildAnswerEnd(200) };
     start('unsafe');
     await wait(400);
     expect(describeEnd()).to.equal('answered 200');
   });
 
   it('finds out by connections, not by requests, whether an upstream can be reached again', async () => {
-    reactions = { u1: UNSENT, u2: buildEnd(200), u3: buildEnd(200) };
+    reactions = { u1: UNSENT, u2: buildAnswerEnd(200), u3: buildAnswerEnd(200) };
     Array.from({ length: 6 }).forEach(() => start('unsafe'));
     await wait(50);
     expect(sent.filter((id) => id === 'u1')).to.have.length(1);
@@ -266,7 +209,7 @@
     await wait(50);
     expect(sent.filter((id) => id === 'u1')).to.have.length(1);
     expect(new Set(probed)).to.deep.equal(new Set(['u1']));
-    reactions = { ...reactions, u1: buildEnd(200) };
+    reactions = { ...reactions, u1: buildAnswerEnd(200) };
     await runTicks(8);
     Array.from({ length: 3 }).forEach(() => start('unsafe'));
     await wait(50);
