--- a/packages/cli/src/commands/log-story.test.ts
+++ b/packages/cli/src/commands/log-story.test.ts
@@ -56,6 +56,33 @@
     expect(buildStory([], 'r').end).to.equal('no line of this request was found');
   });
 
+  it('tells of rate limits, also those of upstreams that it was not sent to', () => {
+    const limited = { limitPerSecond: 2, limitShare: 1 / 3 };
+    const sent = { upstream: 'u1', reason: 'trusted', attempt: 1, timeLeftMs: 900 };
+    const story = buildStory(
+      [
+        buildLine(9, 'rate-limit', { upstream: 'u2', perSecond: 1, share: 0 }),
+        buildLine(10, 'request', { request: 'r', step: 'sent', ...sent, ...limited }),
+        buildLine(11, 'request', {
+          request: 'r',
+          step: 'hopeless',
+          waiting: 0,
+          slots: 0.25,
+          meanAttemptMs: 90,
+          withoutPermit: 2,
+        }),
+      ],
+      'r',
+    );
+    expect(story.steps.map(({ text }) => text)).to.deep.equal([
+      'sent to u1 (trusted) as attempt 1, 900 ms left, by a share of 0.33 of its limit of 2 a second',
+      'no room in time: behind 0, 0.3 slots to count on, 90 ms an attempt, 2 upstreams at their rate limit',
+    ]);
+    expect(story.around.map(({ text }) => text)).to.deep.equal([
+      'rate-limit upstream "u2" perSecond 1 share 0',
+    ]);
+  });
+
   it('is found in lines with text before them, among lines of other programs', () => {
     const text = `12.3 edge-1 ${JSON.stringify(LINES[0])}`;
     expect(parseLogLine(text)).to.deep.equal(LINES[0]);
--- a/packages/cli/src/commands/log-story.ts
+++ b/packages/cli/src/commands/log-story.ts
@@ -30,6 +30,7 @@
 const CONTEXT_EVENTS: readonly string[] = [
   'trust',
   'link',
+  'rate-limit',
   'store-away',
   'store-back',
   'store-history-lost',
@@ -46,16 +47,21 @@
 
 const STEP_TEXTS: Readonly<Record<string, (line: LogLine) => string>> = {
   waiting: ({ ahead, timeLeftMs }) => `waits for room behind ${ahead}, ${timeLeftMs} ms left`,
-  sent: ({ upstream, attempt, reason, timeLeftMs }) =>
-    `sent to ${upstream} (${reason}) as attempt ${attempt}, ${timeLeftMs} ms left`,
+  sent: ({ upstream, attempt, reason, timeLeftMs, limitPerSecond, limitShare }) => {
+    const limit =
+      limitPerSecond === undefined
+        ? ''
+        : `, by a share of ${Number(limitShare).toFixed(2)} of its limit of ${limitPerSecond} a second`;
+    return `sent to ${upstream} (${reason}) as attempt ${attempt}, ${timeLeftMs} ms left${limit}`;
+  },
   answered: ({ upstream, status, elapsedMs }) =>
     `${upstream} answered ${status} after ${Number(elapsedMs).toFixed(1)} ms`,
   overdue: ({ upstream, afterMs }) => `${upstream} has not answered for ${afterMs} ms`,
   unsent: ({ upstream, reason }) => `${upstream} could not be reached: ${reason}`,
   lost: ({ upstream, reason }) => `the connection to ${upstream} was lost: ${reason}`,
   invalid: ({ upstream, reason }) => `${upstream} sent what is no whole answer: ${reason}`,
-  hopeless: ({ waiting, slots, meanAttemptMs }) =>
-    `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt`,
+  hopeless: ({ waiting, slots, meanAttemptMs, withoutPermit = 0 }) =>
+    `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt, ${withoutPermit} upstreams at their rate limit`,
   'caller-gone': () => 'the caller left',
 };
 
