Bound the reports of rate limits in large fleets

At 510 daemons that all serve and all hear of a limit, each would have received 510 repeats a second, 25 KB/s where 10 KB/s of control are allowed (worked out). Repeats now come every 10 ms for each recipient, a second at least; with up to 100 recipients nothing changes.

--- a/packages/gateway/src/rate-limits/fleet-rate-limits.ts
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.ts
@@ -62,6 +62,7 @@
     this.#reports = new RateLimitReports({
       clock,
       listOwnStatements: () => services.listOwnRateLimits(),
+      countRecipients: () => this.#listRecipients().length,
       send: (limits) => this.#send(limits),
     });
     socket.setHandler('rate-limits', (body) => this.#accept(body));
--- a/packages/gateway/src/rate-limits/rate-limit-reports.test.ts
+++ b/packages/gateway/src/rate-limits/rate-limit-reports.test.ts
@@ -11,6 +11,7 @@
   let now = 0;
   let statements: readonly UpstreamStatement[] = [];
   let sent: readonly (readonly ReportedRateLimit[])[] = [];
+  let recipients = 0;
   let reports: RateLimitReports;
 
   beforeEach(() => {
@@ -18,9 +19,11 @@
     now = 0;
     statements = [];
     sent = [];
+    recipients = 10;
     reports = new RateLimitReports({
       clock: { now: () => now },
       listOwnStatements: () => statements,
+      countRecipients: () => recipients,
       send: (limits) => {
         sent = [...sent, limits];
       },
@@ -54,6 +57,19 @@
     expect(sent).to.have.length(2);
   });
 
+  it('are repeated less often to more daemons, and the end of a limit as many times', () => {
+    recipients = 509;
+    run(6000);
+    statements = [{ upstreamId: 'u', perSecond: 2, statedAt: now }];
+    run(60_000);
+    expect(sent).to.have.length.within(11, 12);
+    sent = [];
+    statements = [{ upstreamId: 'u', perSecond: undefined, statedAt: now }];
+    reports.recordChange();
+    run(60_000, 10);
+    expect(sent).to.have.length.within(4, 6);
+  });
+
   it('are bounded however often a limit changes', () => {
     run(2000);
     Array.from({ length: 100 }).forEach((_, index) => {
--- a/packages/gateway/src/rate-limits/rate-limit-reports.ts
+++ b/packages/gateway/src/rate-limits/rate-limit-reports.ts
@@ -14,15 +14,19 @@
   readonly clock: Clock;
   /** What upstreams stated in this daemon's answers, unless another daemon knows something newer. */
   readonly listOwnStatements: () => readonly UpstreamStatement[];
+  /** Number of daemons that receive a report. */
+  readonly countRecipients: () => number;
   readonly send: (limits: readonly ReportedRateLimit[]) => void;
 };
 
 const CHANGE_DELAY_MS = 10;
 /** Bounds the reports about an upstream that changes its limit with each answer. */
 const MIN_INTERVAL_MS = 200;
-const REPEAT_INTERVAL_MS = 1000;
-/** The end of a limit is repeated for so long. */
-const ENDED_LIMIT_TTL_MS = 5000;
+const MIN_REPEAT_INTERVAL_MS = 1000;
+/** Reports are repeated less often to many daemons, so that none receives too many of them. */
+const REPEAT_MS_PER_RECIPIENT = 10;
+/** The end of a limit is repeated for this many intervals. */
+const ENDED_LIMIT_REPEATS = 5;
 /** As many as fit into one datagram. */
 const MAX_LIMITS = 64;
 
@@ -46,22 +50,28 @@
 
   /** Repeats the report if it is due; to be called several times a second. */
   runTick(): void {
-    if (this.#dependencies.clock.now() - this.#sentAt >= REPEAT_INTERVAL_MS) this.#send();
+    if (this.#dependencies.clock.now() - this.#sentAt >= this.#repeatIntervalMs) this.#send();
   }
 
   stop(): void {
     clearTimeout(this.#timer);
   }
 
+  get #repeatIntervalMs(): number {
+    const { countRecipients } = this.#dependencies;
+    return Math.max(MIN_REPEAT_INTERVAL_MS, countRecipients() * REPEAT_MS_PER_RECIPIENT);
+  }
+
   #send(): void {
     clearTimeout(this.#timer);
     this.#timer = undefined;
     const { clock, listOwnStatements, send } = this.#dependencies;
     const now = clock.now();
     this.#sentAt = now;
+    const endedLimitTtlMs = this.#repeatIntervalMs * ENDED_LIMIT_REPEATS;
     const current = [...listOwnStatements()]
       .filter(
-        ({ perSecond, statedAt }) => perSecond !== undefined || now - statedAt < ENDED_LIMIT_TTL_MS,
+        ({ perSecond, statedAt }) => perSecond !== undefined || now - statedAt < endedLimitTtlMs,
       )
       .sort((left, right) => right.statedAt - left.statedAt)
       .slice(0, MAX_LIMITS);
--- a/packages/gateway/src/rate-limits/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -130,6 +130,7 @@
     const reports = new RateLimitReports({
       clock: { now: () => this.#now },
       listOwnStatements: () => this.#listOwnStatements(id),
+      countRecipients: () => this.#daemons.size - 1,
       send: (limits) => this.#sendReport(id, limits),
     });
     const scheduler = this.#createScheduler(id, shares, reports);
