Report a changed rate limit at once also after an idle tick, and mend two checks

What was wrong, found on reading the change again: an idle daemon recorded an empty report as sent, so that a limit that changed within 200 ms after it was reported up to 200 ms late instead of after 10 ms; and each tick listed the recipients of a report that nobody was to get.

Checks: the test of a limit of zero took requests after its end for requests during it, so that it could not fail where the upstream is never asked. The judge of a soak guessed the end of a suspension from the disturbance that started within 100 ms of it, which may be another one; it is recorded now, and a test shows that only the suspended daemon is excused.

The story of a refused request names limited upstreams only if there are any.

--- a/packages/cli/src/commands/log-story.ts
+++ b/packages/cli/src/commands/log-story.ts
@@ -60,8 +60,10 @@
   unsent: ({ upstream, reason }) => `${upstream} could not be reached: ${reason}`,
   lost: ({ upstream, reason }) => `the connection to ${upstream} was lost: ${reason}`,
   invalid: ({ upstream, reason }) => `${upstream} sent what is no whole answer: ${reason}`,
-  hopeless: ({ waiting, slots, meanAttemptMs, withoutPermit = 0 }) =>
-    `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt, ${withoutPermit} upstreams at their rate limit`,
+  hopeless: ({ waiting, slots, meanAttemptMs, withoutPermit }) => {
+    const limited = withoutPermit ? `, ${withoutPermit} upstreams at their rate limit` : '';
+    return `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt${limited}`;
+  },
   'caller-gone': () => 'the caller left',
 };
 
--- a/packages/experiments/src/soak/judge.test.ts
+++ b/packages/experiments/src/soak/judge.test.ts
@@ -66,8 +66,12 @@
     expect(listBroken({ requests, runs, limits })).to.deep.equal(['rate limits of upstreams']);
     const higher = [{ instance: 'i-1', perSecond: 2, fromMs: 900, toMs: 20_000 }];
     expect(listBroken({ requests, runs, limits: higher })).to.deep.equal([]);
-    const struck = [3000, 6000, 9000].map((atMs) => ({ daemon: 'vm-0', atMs, kind: 'pause' }));
+    const struck = [{ daemon: 'vm-0', atMs: 3000, endMs: 7000, kind: 'pause' }];
     expect(listBroken({ requests, runs, limits, struck })).to.deep.equal([]);
+    const others = struck.map((strike) => ({ ...strike, daemon: 'vm-1' }));
+    expect(listBroken({ requests, runs, limits, struck: others })).to.deep.equal([
+      'rate limits of upstreams',
+    ]);
   });
 
   it('finds what ran twice, and what ran though it was refused as not run', () => {
@@ -87,9 +91,9 @@
 
   it('finds a request that a planned stop cut, unless something else may have', () => {
     const cut = { requests: buildRequest({ status: 0, body: '', signature: '' }) };
-    const struck = [{ daemon: 'vm-0', atMs: 5010, kind: 'stop' }];
+    const struck = [{ daemon: 'vm-0', atMs: 5010, endMs: 5010, kind: 'stop' }];
     expect(listBroken({ ...cut, struck })).to.deep.equal(['stops cut nothing']);
-    const killed = [...struck, { daemon: 'vm-0', atMs: 5020, kind: 'kill' }];
+    const killed = [...struck, { daemon: 'vm-0', atMs: 5020, endMs: 5020, kind: 'kill' }];
     expect(listBroken({ ...cut, struck: killed })).to.deep.equal([]);
   });
 
--- a/packages/experiments/src/soak/judge.ts
+++ b/packages/experiments/src/soak/judge.ts
@@ -145,7 +145,7 @@
 
 /** Runs at a limited upstream for daemons that knew of the limit and were not disturbed lately. */
 function listLimitedRuns(
-  { runs, requests, struck, disturbances }: SoakRecord,
+  { runs, requests, struck }: SoakRecord,
   { instance, fromMs, toMs }: StatedLimit,
 ): readonly number[] {
   const byId = new Map(requests.map((request) => [request.id, request]));
@@ -162,14 +162,10 @@
         (answer) =>
           answer.daemon === daemon && answer.life === life && answer.endMs <= atMs - INFORMED_MS,
       );
-      const isExcused = struck.some((strike) => {
-        const { endMs = strike.atMs } =
-          disturbances.find(({ startMs }) => Math.abs(startMs - strike.atMs) < 100) ?? {};
-        return (
-          strike.daemon === daemon &&
-          isWithin(atMs, strike.atMs, Math.max(strike.atMs, endMs) + SETTLE_MS)
-        );
-      });
+      const isExcused = struck.some(
+        (strike) =>
+          strike.daemon === daemon && isWithin(atMs, strike.atMs, strike.endMs + SETTLE_MS),
+      );
       return isInformed && !isExcused;
     })
     .map(({ atMs }) => atMs);
--- a/packages/experiments/src/soak/soak.ts
+++ b/packages/experiments/src/soak/soak.ts
@@ -5,6 +5,7 @@
  */
 import { createRandom } from '@baobabline/core';
 import type { RandomSource } from '@baobabline/core';
+import { HEADERS } from '@baobabline/platform';
 import {
   buildStoreConfiguration,
   buildStoreEntry,
@@ -21,7 +22,6 @@
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
 
-import { HEADERS } from '@baobabline/platform';
 import { judgeSoak } from './judge.js';
 import type { Fault } from './judge.js';
 import { drawDisturbances } from './plan.js';
@@ -367,7 +367,9 @@
   }
 
   async #sendSignals(daemon: GatewayProcess, kind: string, lengthMs: number): Promise<void> {
-    this.#addRow('struck', { daemon: daemon.settings.id, atMs: this.#now, kind });
+    const atMs = this.#now;
+    const endMs = kind === 'pause' ? atMs + lengthMs : atMs;
+    this.#addRow('struck', { daemon: daemon.settings.id, atMs, endMs, kind });
     if (kind === 'stop') daemon.sendSignal('SIGTERM');
     else if (kind === 'kill') daemon.sendSignal('SIGKILL');
     else {
--- a/packages/experiments/src/soak/types.ts
+++ b/packages/experiments/src/soak/types.ts
@@ -94,6 +94,8 @@
   readonly struck: readonly {
     readonly daemon: string;
     readonly atMs: number;
+    /** When a suspended process goes on; the same as `atMs` for other signals. */
+    readonly endMs: number;
     readonly kind: string;
   }[];
 };
--- a/packages/gateway/src/rate-limits/fleet-rate-limits.test.ts
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.test.ts
@@ -203,10 +203,10 @@
   it('is asked about now and then if it is zero, and so ends', () => {
     const fleet = createFleet((now) => ({ u1: now < 60_000 ? 0 : undefined }));
     runLoad(fleet, 120_000);
-    expect(countMost(fleet, 'u1')).to.be.greaterThan(0);
     const during = fleet.arrivals.filter(
       ({ upstream, at }) => upstream === 'u1' && at >= 5000 && at < 60_000,
     );
+    expect(during.length).to.be.greaterThan(0);
     expect(countMostInWindow(during)).to.be.at.most(computeAllowed(0));
     expect(countBetween(fleet, 'u1', 110_000, 120_000)).to.be.greaterThan(10);
   });
--- a/packages/gateway/src/rate-limits/rate-limit-reports.test.ts
+++ b/packages/gateway/src/rate-limits/rate-limit-reports.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import { mock } from 'node:test';
 
+import { computeUpstreamHash } from '../reports/index.js';
 import { formatRateLimits, parseRateLimits, RateLimitReports } from './index.js';
 import type { ReportedRateLimit, UpstreamStatement } from './index.js';
-import { computeUpstreamHash } from '../reports/index.js';
 
 const TICK_MS = 200;
 
@@ -12,6 +12,7 @@
   let statements: readonly UpstreamStatement[] = [];
   let sent: readonly (readonly ReportedRateLimit[])[] = [];
   let recipients = 0;
+  let recipientCounts = 0;
   let reports: RateLimitReports;
 
   beforeEach(() => {
@@ -20,10 +21,14 @@
     statements = [];
     sent = [];
     recipients = 10;
+    recipientCounts = 0;
     reports = new RateLimitReports({
       clock: { now: () => now },
       listOwnStatements: () => statements,
-      countRecipients: () => recipients,
+      countRecipients: () => {
+        recipientCounts += 1;
+        return recipients;
+      },
       send: (limits) => {
         sent = [...sent, limits];
       },
@@ -50,6 +55,19 @@
     expect(sent).to.have.length.within(5, 6);
   });
 
+  it('tell of a change at once also just after a tick without anything to report', () => {
+    run(2200);
+    statements = [{ upstreamId: 'u', perSecond: 2, statedAt: now }];
+    reports.recordChange();
+    run(10, 10);
+    expect(sent).to.have.length(1);
+  });
+
+  it('do not ask for recipients while there is nothing to report', () => {
+    run(10_000);
+    expect(recipientCounts).to.equal(0);
+  });
+
   it('repeat a limit that was known before by a report, once an own answer states it', () => {
     run(2000);
     statements = [{ upstreamId: 'u', perSecond: 2, statedAt: now }];
--- a/packages/gateway/src/rate-limits/rate-limit-reports.ts
+++ b/packages/gateway/src/rate-limits/rate-limit-reports.ts
@@ -5,8 +5,8 @@
  */
 import type { Clock, KnownRateLimit } from '@baobabline/core';
 
-import type { ReportedRateLimit } from './rate-limit-message.js';
 import { computeUpstreamHash } from '../reports/index.js';
+import type { ReportedRateLimit } from './rate-limit-message.js';
 
 export type UpstreamStatement = KnownRateLimit & { readonly upstreamId: string };
 
@@ -50,7 +50,10 @@
 
   /** Repeats the report if it is due; to be called several times a second. */
   runTick(): void {
-    if (this.#dependencies.clock.now() - this.#sentAt >= this.#repeatIntervalMs) this.#send();
+    const { clock, listOwnStatements } = this.#dependencies;
+    const elapsedMs = clock.now() - this.#sentAt;
+    if (elapsedMs < MIN_REPEAT_INTERVAL_MS || listOwnStatements().length === 0) return;
+    if (elapsedMs >= this.#repeatIntervalMs) this.#send();
   }
 
   stop(): void {
@@ -67,7 +70,6 @@
     this.#timer = undefined;
     const { clock, listOwnStatements, send } = this.#dependencies;
     const now = clock.now();
-    this.#sentAt = now;
     const endedLimitTtlMs = this.#repeatIntervalMs * ENDED_LIMIT_REPEATS;
     const current = [...listOwnStatements()]
       .filter(
@@ -75,14 +77,14 @@
       )
       .sort((left, right) => right.statedAt - left.statedAt)
       .slice(0, MAX_LIMITS);
-    if (current.length > 0) {
-      send(
-        current.map(({ upstreamId, perSecond, statedAt }) => ({
-          upstream: computeUpstreamHash(upstreamId),
-          perSecond,
-          ageMs: now - statedAt,
-        })),
-      );
-    }
+    if (current.length === 0) return;
+    this.#sentAt = now;
+    send(
+      current.map(({ upstreamId, perSecond, statedAt }) => ({
+        upstream: computeUpstreamHash(upstreamId),
+        perSecond,
+        ageMs: now - statedAt,
+      })),
+    );
   }
 }
