--- a/packages/stand-ins/src/platform/instance-stand-in.ts
+++ b/packages/stand-ins/src/platform/instance-stand-in.ts
@@ -9,15 +9,21 @@
 /**
  * `errors` answers 500 at once, `shed` states that it did not run the request, `reset` runs it and
  * resets the connection, `hang` runs it and never answers, `unframed-cut` resets an answer without
- * a length midway, `late-extra` repeats each answer where the next one is expected.
+ * a length midway, `late-extra` repeats each answer where the next one is expected, `crash` ends the
+ * instance while the request runs.
  */
-export type InstanceFault = 'errors' | 'shed' | 'reset' | 'hang' | 'unframed-cut' | 'late-extra';
+export type InstanceFault =
+  'errors' | 'shed' | 'reset' | 'hang' | 'unframed-cut' | 'late-extra' | 'crash';
 
 export type InstanceSettings = {
   readonly id: string;
   /** How long a request takes, or a function that draws it for each. */
   readonly workMs: number | ((url: string) => number);
   readonly slots: number;
+  /** Whether the run of a request ends the instance; no request does by default. */
+  readonly isCrashing?: (url: string) => boolean;
+  /** Called once a request has ended the instance. */
+  readonly onCrash?: () => void;
 };
 
 /** One request as the instance ran it, with times of `performance.now()`. */
@@ -146,7 +152,7 @@
       bodyBytes += chunk.length;
     });
     message.once('end', () => {
-      const fault = this.#fault;
+      const fault = this.#settings.isCrashing?.(message.url ?? '') ? 'crash' : this.#fault;
       const run = this.#recordRun(message, bodyBytes, fault);
       const timer = setTimeout(
         () => this.#finish(message, response, fault),
@@ -193,6 +199,10 @@
   ): void {
     const { socket } = message;
     if (fault === 'hang') return;
+    if (fault === 'crash') {
+      this.close().then(() => this.#settings.onCrash?.());
+      return;
+    }
     if (fault === 'reset') {
       socket.resetAndDestroy();
       return;
