Log and count the ends of upstreams with the requests that they ran

Nothing in logs or metrics said that two requests are the same, nor whether a lost connection was the end of its upstream, so the hypotheses of the incident could not be told apart.

Each request gets a fingerprint (method, host, target with query, headers that name the client account, digest of the body, which is computed as the body comes in). Where a request is lost, a connection is opened to its upstream and to up to three others: refused there and accepted by most others, the upstream has ended; ends of three upstreams with different requests within 250 ms have a common cause; a daemon that reaches no other upstream knows nothing. Log line 'upstream-end', counter baobabline_lost_upstreams_total by verdict. Nothing is decided by it yet.

--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -14,7 +14,7 @@
 import type { HttpDialect } from '../dialect/index.js';
 import { readBody } from '../http/index.js';
 import type { BodyEnd } from '../http/index.js';
-import { listOnwardHeaders } from '../requests/index.js';
+import { computeRequestFingerprint, listOnwardHeaders } from '../requests/index.js';
 import type { RequestEnd, RoutedRequest, ServedRequest } from '../requests/index.js';
 import { CallerConnection } from './caller-connection.js';
 import { checkHead, readBodyLength } from './check-head.js';
@@ -301,7 +301,7 @@
 
   #buildRequest(
     { id, message, arrivedAt, timeAllowedMs }: CallerExchange,
-    body: { readonly chunks: readonly Buffer[]; readonly bytes: number },
+    body: Extract<BodyEnd, { readonly kind: 'whole' }>,
   ): RoutedRequest | undefined {
     const target = message.url ?? '';
     const route = this.#ports.getRoutes()?.find(message.headers.host ?? '', target);
@@ -309,13 +309,17 @@
     const { ownHeaders } = this.#ports.dialect;
     const dropped = new Set([...ownHeaders, 'content-length']);
     const callerEndAt = arrivedAt + timeAllowedMs;
+    const method = message.method ?? 'GET';
+    const headers = listOnwardHeaders(message.rawHeaders, dropped).flat();
+    const bodyDigest = body.digest;
     return {
       id,
+      fingerprint: computeRequestFingerprint({ method, target, headers, bodyDigest }),
       route,
       service: this.#ports.chooseService(route),
-      method: message.method ?? 'GET',
+      method,
       target,
-      headers: listOnwardHeaders(message.rawHeaders, dropped).flat(),
+      headers,
       body: body.chunks,
       bodyBytes: body.bytes,
       arrivedAt,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import type { RequestEnd, RoutedRequest, ServedRequest } from './requests/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
+import { UpstreamEndDetector } from './upstream-ends/index.js';
 
 const SYSTEM_TICK_INTERVAL_MS = 200;
 const POLL_INTERVAL_MS = 50;
@@ -94,6 +95,8 @@
     onConflict: (conflict) => this.#recordConflict(conflict),
   });
 
+  readonly #endDetector: UpstreamEndDetector;
+
   readonly #services: RoutedServices;
 
   readonly #fleet: FleetLinks;
@@ -143,6 +146,7 @@
       this.#log.warn('record-unusable', { key, reason }),
     );
     this.#fleetSocket = this.#createFleetSocket();
+    this.#endDetector = this.#createEndDetector();
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#recordExchange = this.#createRecordExchange();
@@ -363,12 +367,24 @@
       getRateLimitShare: (upstream) => this.#rateLimits.getShare(upstream),
       onRateLimitChange: (upstream, change, source) =>
         this.#rateLimits.recordChange(upstream, change, source),
+      crashGuard: this.#endDetector,
       onLoadChange: () => this.#reports.recordLoad(),
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
     });
   }
 
+  #createEndDetector(): UpstreamEndDetector {
+    return new UpstreamEndDetector({
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      listUpstreams: () => this.#services.listUpstreams(),
+      onVerdict: (verdict) => this.#metrics.recordLostUpstream(verdict),
+      onEnd: () => undefined,
+    });
+  }
+
   #createFleetSocket(): FleetSocket {
     const socket = new FleetSocket({
       port: this.#settings.reports.port,
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -5,6 +5,7 @@
 import type { RequestPhase } from '../edge/index.js';
 import type { ExceptionOrigin } from '../exceptions/index.js';
 import type { RequestEnd, RequestStep, RoutedRequest } from '../requests/index.js';
+import type { EndVerdict } from '../upstream-ends/index.js';
 import type { MetricsSource, MetricsRegistry } from './metrics-registry.js';
 
 /** One observation, applied once the registry is loaded. */
@@ -95,6 +96,11 @@
     this.#record(({ recordConflicts }) => recordConflicts.inc({ outcome }));
   }
 
+  /** Records that a request was lost at an upstream, by what became of the upstream. */
+  recordLostUpstream(verdict: EndVerdict): void {
+    this.#record(({ upstreamEnds }) => upstreamEnds.inc({ verdict }));
+  }
+
   /** Records an exception that was contained, by what was at work. */
   recordException(origin: ExceptionOrigin): void {
     this.#record(({ exceptions }) => exceptions.inc({ origin }));
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -5,6 +5,7 @@
 
 import { EXCEPTION_ORIGINS } from '../exceptions/index.js';
 import type { TrafficRow } from '../fleet/index.js';
+import { END_VERDICTS } from '../upstream-ends/index.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
 
@@ -91,6 +92,12 @@
     ['origin'],
   );
 
+  readonly upstreamEnds = this.#createCounter(
+    'baobabline_lost_upstreams_total',
+    'Upstreams at which a request was lost, by what became of them',
+    ['verdict'],
+  );
+
   readonly durations = this.#createHistogram(
     'baobabline_request_duration_seconds',
     'Time from a request of a caller to its end',
@@ -104,6 +111,7 @@
   );
 
   constructor(source: MetricsSource) {
+    END_VERDICTS.forEach((verdict) => this.upstreamEnds.inc({ verdict }, 0));
     source.requestPhases.forEach((phase) => this.cutRequests.inc({ phase }, 0));
     this.#registerServices(source);
     this.#registerMembers(source);
--- a/packages/gateway/src/rate-limits/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -25,6 +25,7 @@
   buildAnswerEnd,
   buildRoutedRequest,
   buildUpstreamRecord,
+  NO_CRASH_GUARD,
   PLAIN_DIALECT,
 } from '../requests/request-fixtures.js';
 import type { RequestEnd, RoutedRequest } from '../requests/index.js';
@@ -224,6 +225,7 @@
         random: this.#random,
         dialect: PLAIN_DIALECT,
         times: daemon.times,
+        crashGuard: NO_CRASH_GUARD,
         onLoadChange: () => undefined,
         onBytes: () => undefined,
         onStep: () => undefined,
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -1,5 +1,7 @@
 export { AttemptTimes } from './attempt-times.js';
 export { PeerLoads } from './peer-loads.js';
+export type { CrashGuard, LostRequest } from './crash-guard.js';
+export { computeRequestFingerprint } from './request-fingerprint.js';
 export { listOnwardHeaders } from './request-head.js';
 export { RequestRun } from './request-run.js';
 export { ServiceScheduler } from './service-scheduler.js';
--- a/packages/gateway/src/requests/request-fixtures.ts
+++ b/packages/gateway/src/requests/request-fixtures.ts
@@ -5,6 +5,7 @@
 
 import type { AnswerHead, HttpDialect } from '../dialect/index.js';
 import type { ExchangeEnd } from '../upstreams/index.js';
+import type { CrashGuard } from './crash-guard.js';
 import type { RoutedRequest } from './types.js';
 
 const CALLER_TIMEOUT_MS = 2000;
@@ -26,6 +27,11 @@
   buildUpstreamHeaders: () => [],
 };
 
+/** A guard that suspects no request. */
+export const NO_CRASH_GUARD: CrashGuard = {
+  recordLoss: (_lost, onDone) => onDone(),
+};
+
 export function buildAnswerEnd(status: number, head: Partial<AnswerHead> = {}): ExchangeEnd {
   return {
     kind: 'answered',
@@ -76,6 +82,7 @@
   };
   return {
     id,
+    fingerprint: `fingerprint of ${id}`,
     route,
     service: 's',
     method: 'GET',
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -11,6 +11,7 @@
   buildAnswerEnd,
   buildRoutedRequest,
   buildUpstreamRecord,
+  NO_CRASH_GUARD,
   PLAIN_DIALECT,
 } from './request-fixtures.js';
 import { RequestRun } from './request-run.js';
@@ -122,6 +123,7 @@
         random: createRandom(3),
         dialect: PLAIN_DIALECT,
         times: new AttemptTimes(),
+        crashGuard: NO_CRASH_GUARD,
         onLoadChange: () => undefined,
         onBytes: () => undefined,
         onStep: () => undefined,
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -16,6 +16,7 @@
 import type { ExchangeEnd, UpstreamAnswer, UpstreamConnection } from '../upstreams/index.js';
 import type { AttemptTimes } from './attempt-times.js';
 import { buildRequestHead } from './request-head.js';
+import type { CrashGuard } from './crash-guard.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
@@ -28,6 +29,7 @@
   /** Called when the number of requests in flight has changed. */
   readonly onLoadChange: () => void;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
+  readonly crashGuard: CrashGuard;
   /** Called with the size of a request or an answer in bytes, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
 };
@@ -341,7 +343,7 @@
   }
 
   #handleFailure(
-    { upstreamId }: Attempt,
+    { upstreamId, state }: Attempt,
     end: Exclude<ExchangeEnd, { kind: 'answered' }>,
     elapsedMs: number,
   ): void {
@@ -352,12 +354,22 @@
       this.#tryAgainOrFail(true, true);
       return;
     }
+    if (end.kind === 'lost' || end.isDisconnect) this.#recordLoss(state);
     if (end.kind === 'lost') this.#scheduler.recordNoAnswer(upstreamId, false);
     else this.#scheduler.recordAnswer(upstreamId, false, this.#now);
     this.#unknownError ??= createRefusal(end.kind === 'lost' ? 'upstreamLost' : 'answerInvalid');
     this.#tryAgainOrFail(this.#isRepeatable);
   }
 
+  #recordLoss(state: UpstreamState): void {
+    const { fingerprint } = this.#request;
+    const othersInFlight = this.#scheduler.countInFlightElsewhere(state);
+    this.#dependencies.crashGuard.recordLoss(
+      { state, fingerprint, othersInFlight },
+      () => undefined,
+    );
+  }
+
   /** Retries if possible. A retry after an attempt that was never sent costs no retry budget. */
   #tryAgainOrFail(isSafe: boolean, wasUnsent = false): void {
     if (this.#isDone || this.#attempts.length > 0) return;
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -390,6 +390,11 @@
     );
   }
 
+  /** Requests of other daemons in flight at an upstream, as far as they have reported them. */
+  countInFlightElsewhere({ reportName }: UpstreamState): number {
+    return this.#dependencies.peerLoads.count(reportName);
+  }
+
   #countInFlight({ reportName, inFlight }: UpstreamState): number {
     return inFlight + this.#dependencies.peerLoads.count(reportName);
   }
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -8,6 +8,8 @@
 /** A whole request of a caller, its route found and its limits kept. */
 export type RoutedRequest = {
   readonly id: string;
+  /** The same for requests that differ in nothing but their id. */
+  readonly fingerprint: string;
   readonly route: Route;
   readonly service: string;
   readonly method: string;
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -30,6 +30,7 @@
   UpstreamState,
 } from '../requests/index.js';
 import type {
+  CrashGuard,
   JudgedAnswer,
   RequestEnd,
   RequestStep,
@@ -63,6 +64,7 @@
     change: RateLimitChange,
     source: 'answer' | 'report',
   ) => void;
+  readonly crashGuard: CrashGuard;
   readonly onLoadChange: () => void;
   /** Called with the bytes of a request or an answer, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
@@ -116,10 +118,13 @@
     return [...this.#desks.values()];
   }
 
+  listUpstreams(): readonly UpstreamState[] {
+    return this.listDesks().flatMap((desk) => desk.listUpstreams());
+  }
+
   /** Upstreams and the requests of this daemon in flight there, where there are any. */
   listInFlight(): readonly (readonly [string, number])[] {
-    return this.listDesks()
-      .flatMap((desk) => desk.listUpstreams())
+    return this.listUpstreams()
       .filter(({ inFlight }) => inFlight > 0)
       .map(({ record, inFlight }) => [record.id, inFlight] as const);
   }
@@ -163,11 +168,9 @@
 
   /** Upstreams whose newest known statement about a rate limit came in an answer to this daemon. */
   listOwnRateLimits(): readonly UpstreamStatement[] {
-    return this.listDesks()
-      .flatMap((desk) => desk.listUpstreams())
-      .flatMap(({ record, rateLimit: { ownStatement } }) =>
-        ownStatement ? [{ ...ownStatement, upstreamId: record.id }] : [],
-      );
+    return this.listUpstreams().flatMap(({ record, rateLimit: { ownStatement } }) =>
+      ownStatement ? [{ ...ownStatement, upstreamId: record.id }] : [],
+    );
   }
 
   /** Applies the rate limits that another daemon reports. */
--- /dev/null
+++ b/packages/gateway/src/upstream-ends/upstream-end-detector.test.ts
@@ -0,0 +1,126 @@
+import { createRandom } from '@baobabline/core';
+import type { Log } from '@baobabline/daemon';
+import { expect } from 'chai';
+import { mock } from 'node:test';
+
+import { buildUpstreamRecord } from '../requests/request-fixtures.js';
+import { UpstreamState } from '../requests/index.js';
+import type { Reachability, UpstreamPool } from '../upstreams/index.js';
+import { UpstreamEndDetector } from './index.js';
+import type { EndVerdict, UpstreamEnd } from './index.js';
+
+const WAIT_MS = 500;
+const NO_LOG = { info: () => undefined } as unknown as Log;
+
+describe('the end of an upstream', () => {
+  let now = 0;
+  let reachable: Record<string, Reachability>;
+  let upstreams: readonly UpstreamState[];
+  let verdicts: EndVerdict[];
+  let ends: UpstreamEnd[];
+  let detector: UpstreamEndDetector;
+
+  function createUpstream(id: string): UpstreamState {
+    const pool = {
+      checkReachable: (onEnd: (reachability: Reachability) => void) => {
+        const reachability = reachable[id] ?? 'open';
+        // Nothing comes back from a silent one until the connection is given up.
+        setTimeout(() => onEnd(reachability), reachability === 'silent' ? 300 : 2);
+      },
+    } as unknown as UpstreamPool;
+    return new UpstreamState(buildUpstreamRecord(id), pool, 0);
+  }
+
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout'] });
+    now = 0;
+    reachable = {};
+    verdicts = [];
+    ends = [];
+    upstreams = ['u1', 'u2', 'u3', 'u4', 'u5', 'u6', 'u7', 'u8'].map(createUpstream);
+    detector = new UpstreamEndDetector({
+      clock: { now: () => now },
+      random: createRandom(5),
+      log: NO_LOG,
+      listUpstreams: () => upstreams,
+      onVerdict: (verdict) => verdicts.push(verdict),
+      onEnd: (end) => ends.push(end),
+    });
+  });
+
+  afterEach(() => mock.timers.reset());
+
+  function pass(ms: number): void {
+    Array.from({ length: ms }).forEach(() => {
+      now += 1;
+      mock.timers.tick(1);
+    });
+  }
+
+  function recordLoss(index: number, fingerprint: string): void {
+    const state = upstreams[index];
+    if (state) detector.recordLoss({ state, fingerprint, othersInFlight: 0 }, () => undefined);
+  }
+
+  it('is seen where it refuses connections and others accept them, with all that it ran', () => {
+    reachable = { u1: 'refused' };
+    recordLoss(0, 'a');
+    pass(10);
+    recordLoss(0, 'b');
+    pass(WAIT_MS);
+    expect(verdicts).to.deep.equal(['ended']);
+    expect(ends.map(({ fingerprints }) => fingerprints)).to.deep.equal([['a', 'b']]);
+  });
+
+  it('is not taken from a connection that was reset', () => {
+    recordLoss(0, 'a');
+    pass(WAIT_MS);
+    expect(verdicts).to.deep.equal(['alive']);
+  });
+
+  it('is not taken from a silent link', () => {
+    reachable = { u1: 'silent' };
+    recordLoss(0, 'a');
+    pass(WAIT_MS);
+    expect(verdicts).to.deep.equal(['unknown']);
+  });
+
+  (['refused', 'silent'] as const).forEach((kind) => {
+    it(`is not believed by a daemon that reaches no upstream (${kind})`, () => {
+      reachable = Object.fromEntries(upstreams.map(({ record }) => [record.id, kind]));
+      reachable.u1 = 'refused';
+      recordLoss(0, 'a');
+      pass(WAIT_MS);
+      expect(verdicts).to.deep.equal(['unknown']);
+      expect(ends).to.deep.equal([]);
+    });
+  });
+
+  it('blames no request where several upstreams end at the same moment', () => {
+    reachable = { u1: 'refused', u2: 'refused', u3: 'refused' };
+    ['a', 'b', 'c'].forEach((fingerprint, index) => recordLoss(index, fingerprint));
+    pass(WAIT_MS);
+    expect(verdicts).to.deep.equal(['common-cause', 'common-cause', 'common-cause']);
+    expect(ends).to.deep.equal([]);
+  });
+
+  it('is not put down to a common cause where one request was lost at all of them', () => {
+    reachable = { u1: 'refused', u2: 'refused', u3: 'refused' };
+    [0, 1, 2].forEach((index) => {
+      recordLoss(index, 'a');
+      pass(65);
+    });
+    pass(WAIT_MS);
+    expect(verdicts).to.deep.equal(['ended', 'ended', 'ended']);
+  });
+
+  it('is told apart from an earlier one', () => {
+    reachable = { u1: 'refused' };
+    recordLoss(0, 'a');
+    pass(WAIT_MS);
+    reachable = { u1: 'refused', u2: 'refused' };
+    recordLoss(1, 'a');
+    pass(WAIT_MS);
+    expect(verdicts).to.deep.equal(['ended', 'ended']);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/upstream-ends/upstream-end-detector.ts
@@ -0,0 +1,174 @@
+/**
+ * Finds out whether an upstream has ended when a connection with a request in flight is lost, and
+ * which requests it was running.
+ *
+ * A lost connection alone says little: connections are reset, and a daemon can lose its own links. The
+ * upstream has ended if it refuses a new connection while most other upstreams accept one. Ends of
+ * several upstreams at the same moment have a common cause, which is no request.
+ */
+import type { Clock, RandomSource } from '@baobabline/core';
+import type { Log } from '@baobabline/daemon';
+
+import type { LostRequest, UpstreamState } from '../requests/index.js';
+import type { Reachability } from '../upstreams/index.js';
+
+/**
+ * `ended`: the upstream has ended by itself or by a request. `common-cause`: it has ended together
+ * with others. `alive`: it accepts connections. `unknown`: it does not reply, or this daemon cannot
+ * reach most of the others either.
+ */
+export type EndVerdict = 'ended' | 'common-cause' | 'alive' | 'unknown';
+
+export const END_VERDICTS: readonly EndVerdict[] = ['ended', 'common-cause', 'alive', 'unknown'];
+
+/** An upstream that has ended, and what it was running. */
+export type UpstreamEnd = {
+  readonly state: UpstreamState;
+  /** Requests of this daemon that were lost with it, without duplicates. */
+  readonly fingerprints: readonly string[];
+  /** Requests of other daemons that were in flight there, as far as known. */
+  readonly othersInFlight: number;
+};
+
+export type UpstreamEndDetectorDependencies = {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  /** All upstreams that this daemon knows. */
+  readonly listUpstreams: () => readonly UpstreamState[];
+  readonly onVerdict: (verdict: EndVerdict) => void;
+  /** Called when an upstream has ended and a request may be the cause. */
+  readonly onEnd: (end: UpstreamEnd) => void;
+};
+
+type Investigation = {
+  readonly state: UpstreamState;
+  readonly startedAt: number;
+  readonly fingerprints: Set<string>;
+  readonly othersInFlight: number;
+  readonly callbacks: (() => void)[];
+};
+
+/** Other upstreams to which a connection is opened, to find out whether this daemon reaches any. */
+const MAX_CONTROLS = 3;
+/** Replies that take longer count as none; a round trip within a region takes milliseconds. */
+const CONTROL_TIMEOUT_MS = 60;
+/** Requests that are lost at the same end are all noticed within this time. */
+const GATHER_MS = 30;
+/** Ends within this time of each other, with different requests at this many upstreams. */
+const COMMON_CAUSE_MS = 250;
+const MIN_COMMON_ENDS = 3;
+
+export class UpstreamEndDetector {
+  readonly #dependencies: UpstreamEndDetectorDependencies;
+
+  readonly #investigations = new Map<UpstreamState, Investigation>();
+
+  /** Upstreams that refused connections lately, after a request had been lost there. */
+  #refusals: readonly Investigation[] = [];
+
+  constructor(dependencies: UpstreamEndDetectorDependencies) {
+    this.#dependencies = dependencies;
+  }
+
+  /** Records a lost request; calls `onDone` once it is clear whether its upstream has ended. */
+  recordLoss({ state, fingerprint, othersInFlight }: LostRequest, onDone: () => void): void {
+    const known = this.#investigations.get(state);
+    if (known) {
+      known.fingerprints.add(fingerprint);
+      known.callbacks.push(onDone);
+      return;
+    }
+    const investigation: Investigation = {
+      state,
+      startedAt: this.#dependencies.clock.now(),
+      fingerprints: new Set([fingerprint]),
+      othersInFlight,
+      callbacks: [onDone],
+    };
+    this.#investigations.set(state, investigation);
+    state.pool.checkReachable((reachability) => this.#handleReply(investigation, reachability));
+  }
+
+  #handleReply(investigation: Investigation, reachability: Reachability): void {
+    if (reachability !== 'refused') {
+      this.#finish(investigation, reachability === 'open' ? 'alive' : 'unknown');
+      return;
+    }
+    const { state, startedAt } = investigation;
+    this.#refusals = [...this.#refusals, investigation].filter(
+      (one) => one.startedAt >= startedAt - COMMON_CAUSE_MS,
+    );
+    this.#checkControls(state, (isConnected) => {
+      setTimeout(
+        () => this.#finish(investigation, isConnected ? this.#judgeEnd(investigation) : 'unknown'),
+        Math.max(0, startedAt + GATHER_MS - this.#dependencies.clock.now()),
+      );
+    });
+  }
+
+  /** Ends with the same request do not count: its retries may have caused them one after the other. */
+  #judgeEnd({ startedAt, fingerprints }: Investigation): EndVerdict {
+    const others = this.#refusals.filter(
+      (one) =>
+        Math.abs(one.startedAt - startedAt) <= COMMON_CAUSE_MS &&
+        ![...one.fingerprints].some((fingerprint) => fingerprints.has(fingerprint)),
+    );
+    return others.length + 1 >= MIN_COMMON_ENDS ? 'common-cause' : 'ended';
+  }
+
+  /** Calls back with whether most of some other upstreams, drawn at random, accept a connection. */
+  #checkControls(suspect: UpstreamState, onDone: (isConnected: boolean) => void): void {
+    const controls = this.#drawControls(suspect);
+    const needed = Math.ceil(controls.length / 2);
+    let open = 0;
+    let replies = 0;
+    let isDone = false;
+    const finish = (): void => {
+      if (isDone) return;
+      isDone = true;
+      onDone(open >= needed);
+    };
+    if (controls.length === 0) {
+      finish();
+      return;
+    }
+    setTimeout(finish, CONTROL_TIMEOUT_MS);
+    controls.forEach(({ pool }) =>
+      pool.checkReachable((reachability) => {
+        replies += 1;
+        if (reachability === 'open') open += 1;
+        if (open >= needed || replies === controls.length) finish();
+      }),
+    );
+  }
+
+  #drawControls(suspect: UpstreamState): readonly UpstreamState[] {
+    const { listUpstreams, random } = this.#dependencies;
+    const refused = this.#refusals.map(({ state }) => state);
+    return listUpstreams()
+      .filter((state) => state !== suspect && !refused.includes(state))
+      .map((state) => ({ state, order: random.next() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, MAX_CONTROLS)
+      .map(({ state }) => state);
+  }
+
+  #finish(investigation: Investigation, verdict: EndVerdict): void {
+    const { state, fingerprints, othersInFlight, callbacks } = investigation;
+    this.#investigations.delete(state);
+    const { log, onVerdict, onEnd } = this.#dependencies;
+    onVerdict(verdict);
+    if (verdict !== 'alive') {
+      log.info('upstream-end', {
+        upstream: state.record.id,
+        service: state.record.service,
+        verdict,
+        requests: [...fingerprints],
+        othersInFlight,
+      });
+    }
+    if (verdict === 'ended') onEnd({ state, fingerprints: [...fingerprints], othersInFlight });
+    callbacks.forEach((callback) => callback());
+  }
+}
--- a/packages/gateway/src/upstreams/types.ts
+++ b/packages/gateway/src/upstreams/types.ts
@@ -28,6 +28,17 @@
   /** The connection ended after the request was written and before an answer began. */
   | { readonly kind: 'lost'; readonly reason: string }
   /** The answer was malformed, truncated or too large. */
-  | { readonly kind: 'invalid'; readonly reason: string };
+  | {
+      readonly kind: 'invalid';
+      readonly reason: string;
+      /** Whether the connection ended before the answer did. */
+      readonly isDisconnect?: boolean;
+    };
+
+/**
+ * Whether an upstream accepts a connection: `open`, `refused` by its VM, or `silent`, which also
+ * stands for other errors.
+ */
+export type Reachability = 'open' | 'refused' | 'silent';
 
 export type EndHandler = (end: ExchangeEnd) => void;
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -95,6 +95,8 @@
 
   #hadError = false;
 
+  #wasRefused = false;
+
   #idleSince: number;
 
   #keepAliveMs: number | undefined;
@@ -119,6 +121,15 @@
     return this.#isConnected && !this.#isClosed && this.#exchange === undefined;
   }
 
+  get isConnected(): boolean {
+    return this.#isConnected && !this.#isClosed;
+  }
+
+  /** Whether the connection was refused when it was opened. */
+  get wasRefused(): boolean {
+    return this.#wasRefused;
+  }
+
   /** When the last answer was complete, or the connection was created. */
   get idleSince(): number {
     return this.#idleSince;
@@ -157,8 +168,9 @@
     const socket = this.#socket;
     socket.once('connect', () => this.#handleConnect());
     socket.on('data', (chunk: Buffer) => this.#handleData(chunk));
-    socket.once('error', (error: Error) => {
+    socket.once('error', (error: NodeJS.ErrnoException) => {
       this.#hadError = true;
+      this.#wasRefused = !this.#isConnected && error.code === 'ECONNREFUSED';
       this.#handleDisconnect(error.message);
     });
     socket.once('end', () => this.#handleSocketEnd());
@@ -283,7 +295,7 @@
 
   #handleDisconnect(reason: string): void {
     if (!this.#isRequestWritten) this.#closeWith({ kind: 'unsent', reason });
-    else if (this.#incoming) this.#closeWith({ kind: 'invalid', reason });
+    else if (this.#incoming) this.#closeWith({ kind: 'invalid', reason, isDisconnect: true });
     else this.#closeWith({ kind: 'lost', reason });
   }
 
--- a/packages/gateway/src/upstreams/upstream-pool.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.ts
@@ -3,7 +3,7 @@
  * first, so that surplus connections stay idle and are closed here before the upstream closes them.
  */
 import type { HttpDialect } from '../dialect/index.js';
-import type { EndHandler, ExchangeRequest } from './types.js';
+import type { EndHandler, ExchangeRequest, Reachability } from './types.js';
 import { UpstreamConnection } from './upstream-connection.js';
 
 export type PoolDependencies = {
@@ -42,6 +42,9 @@
 
   #isClosing = false;
 
+  /** Connections that are being opened to find out whether the upstream accepts any. */
+  readonly #checks = new Map<UpstreamConnection, (reachability: Reachability) => void>();
+
   /** A connection that is being opened to check whether the upstream is reachable. */
   #probe: { readonly connection: UpstreamConnection; readonly onEnd: ProbeHandler } | undefined;
 
@@ -66,6 +69,17 @@
     this.#probe = { connection: this.#create(), onEnd };
   }
 
+  /** Opens a connection and calls back with how that ended; one that opens is kept for later use. */
+  checkReachable(onEnd: (reachability: Reachability) => void): void {
+    if (this.#isClosing) onEnd('silent');
+    else this.#checks.set(this.#create(), onEnd);
+  }
+
+  /** Whether a connection to the upstream is open, idle or busy. */
+  get hasOpenConnection(): boolean {
+    return [...this.#openConnections].some(({ isConnected }) => isConnected);
+  }
+
   /** Closes all idle connections: after one has failed, the others may be broken too. */
   closeIdle(): void {
     this.#idleConnections.forEach((connection) => connection.close());
@@ -121,14 +135,22 @@
     probe.onEnd(isReachable);
   }
 
+  #finishCheck(connection: UpstreamConnection, reachability: Reachability): void {
+    const onEnd = this.#checks.get(connection);
+    this.#checks.delete(connection);
+    onEnd?.(reachability);
+  }
+
   #handleIdle(connection: UpstreamConnection): void {
     this.#finishProbe(connection, true);
+    this.#finishCheck(connection, 'open');
     if (this.#isClosing) connection.close();
     else this.#idleConnections = [...this.#idleConnections, connection];
   }
 
   #handleClosed(connection: UpstreamConnection): void {
     this.#finishProbe(connection, false);
+    this.#finishCheck(connection, connection.wasRefused ? 'refused' : 'silent');
     this.#openConnections.delete(connection);
     this.#idleConnections = this.#idleConnections.filter((other) => other !== connection);
   }
