Keep requests that crash upstreams from all upstreams of the fleet

Callers saw upstreams end by the dozen, and requests beside a harmful one end with 502, since nothing recognised it: each bound is one daemon's or one attempt's. Class of fault: a bound on a sum that nobody keeps.

Two ends of upstreams with the same request in flight, without a success in between, quarantine it. The blame for an end is shared among what was in flight, most of it to requests that were there at earlier ends. A success clears a request, at whichever daemon, and excuses it from the ends that follow closely, so that a hot request survives crashes that are not its own. A daemon believes no end of an upstream that still has a connection to it. Reports travel by datagram at once and twice more; each daemon passes on what is new to it, dispatchers repeat what is quarantined, and a daemon that starts asks them.

A quarantined request is refused at once with 503, code 210: not run, and Retry-After says when it is tried next. After 60 s, then 10 min, then an hour, one daemon of the fleet sends it once: the dispatchers take turns in an order that all compute alike, and a daemon that sees less than half of the fleet has none. A retry waits for the verdict on the last lost connection if an upstream ended with the request before.

Why it works: the sum is kept by every daemon refusing, and by one daemon at a time trying.

--- /dev/null
+++ b/packages/core/src/crash-quarantine/index.ts
@@ -0,0 +1,8 @@
+export { CrashQuarantine } from './crash-quarantine.js';
+export type {
+  CrashQuarantineDependencies,
+  QuarantineChange,
+  QuarantineVerdict,
+  SuspectRequest,
+} from './crash-quarantine.js';
+export type { CrashEvidence, CrashSuspicion } from './crash-suspicion.js';
--- a/packages/core/src/results/result-codes.ts
+++ b/packages/core/src/results/result-codes.ts
@@ -178,6 +178,13 @@
     outcome: 'not-run',
     title: 'No daemon that dispatches this service could be reached',
   },
+  requestHeldBack: {
+    code: 210,
+    name: 'request-held-back',
+    status: 503,
+    outcome: 'not-run',
+    title: 'Upstreams ended with this request in flight; it is quarantined for now',
+  },
   upstreamLost: {
     code: 300,
     name: 'upstream-lost',
--- a/packages/core/src/upstream-limits/rate-limit-shares.ts
+++ b/packages/core/src/upstream-limits/rate-limit-shares.ts
@@ -111,6 +111,13 @@
     return Math.min(...this.#listCounted().map((view) => this.#findShare(view, upstreamId)));
   }
 
+  /** Returns the part of the fleet that this daemon has seen for some seconds, from 0 to 1. */
+  getVisiblePart(): number {
+    this.refresh();
+    if (this.#ports.clock.now() < this.#runningSince + SETTLE_MS) return 0;
+    return Math.min(...this.#views.map(({ visiblePart }) => visiblePart));
+  }
+
   /** Brings the view of the fleet up to date; to be called several times a second. */
   refresh(): void {
     const { clock, getWallTime, getRevision, listDispatchers } = this.#ports;
--- a/packages/gateway/src/datagrams/fleet-socket.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.ts
@@ -15,7 +15,8 @@
   | 'probe-answer'
   | 'poll'
   | 'news'
-  | 'rate-limits';
+  | 'rate-limits'
+  | 'crash-reports';
 
 const TAGS: readonly DatagramTag[] = [
   'report',
@@ -26,6 +27,7 @@
   'poll',
   'news',
   'rate-limits',
+  'crash-reports',
 ];
 
 /** Handles a datagram's body and its sender's address; returns whether the body was valid. */
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -150,6 +150,17 @@
     return [...this.roles.listOtherDispatchers(), ...leaving];
   }
 
+  /**
+   * The daemons of this data centre, which may all get requests of callers, and the dispatchers of
+   * the others.
+   */
+  listNearAndDispatchers(): readonly Member[] {
+    const { id: ownId, dataCentre } = this.membership.self;
+    const near = this.membership.listPresent().filter((one) => one.dataCentre === dataCentre);
+    const far = this.roles.listOtherDispatchers().filter((one) => one.dataCentre !== dataCentre);
+    return [...near.filter(({ id }) => id !== ownId), ...far];
+  }
+
   /** Counts the members by state, according to this daemon's view. */
   countMembers(): ReadonlyMap<string, number> {
     const states = this.membership.members.list().map(({ state }) => state);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
   PlatformAdapter,
   RecordSource,
 } from './dialect/index.js';
+import { FleetQuarantine } from './crash-quarantine/index.js';
 import { createDirectoryServer, createReadinessServer } from './directory/index.js';
 import { CallerServer, REQUEST_PHASES } from './edge/index.js';
 import { ExceptionRecorder } from './exceptions/index.js';
@@ -40,7 +41,6 @@
 import type { RequestEnd, RoutedRequest, ServedRequest } from './requests/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
-import { UpstreamEndDetector } from './upstream-ends/index.js';
 
 const SYSTEM_TICK_INTERVAL_MS = 200;
 const POLL_INTERVAL_MS = 50;
@@ -75,6 +75,7 @@
   poll: 'records',
   news: 'records',
   'rate-limits': 'reports',
+  'crash-reports': 'reports',
 };
 
 export type GatewayPhase = 'joining' | 'serving' | 'leaving' | 'stopped';
@@ -95,8 +96,6 @@
     onConflict: (conflict) => this.#recordConflict(conflict),
   });
 
-  readonly #endDetector: UpstreamEndDetector;
-
   readonly #services: RoutedServices;
 
   readonly #fleet: FleetLinks;
@@ -109,6 +108,8 @@
 
   readonly #rateLimits: FleetRateLimits;
 
+  readonly #quarantine: FleetQuarantine;
+
   readonly #fleetSocket: FleetSocket;
 
   /** Client for requests to other daemons. */
@@ -146,7 +147,6 @@
       this.#log.warn('record-unusable', { key, reason }),
     );
     this.#fleetSocket = this.#createFleetSocket();
-    this.#endDetector = this.#createEndDetector();
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#recordExchange = this.#createRecordExchange();
@@ -160,6 +160,17 @@
       socket: this.#fleetSocket,
       services: this.#services,
     });
+    this.#quarantine = new FleetQuarantine({
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      selfId: settings.id,
+      fleet: this.#fleet,
+      socket: this.#fleetSocket,
+      upstreams: this.#services,
+      getVisiblePart: () => this.#rateLimits.getVisiblePart(),
+      onVerdict: (verdict) => this.#metrics.recordLostUpstream(verdict),
+    });
     this.#callerServer = this.#createCallerServer();
     this.#metrics = this.#createMetrics();
     this.#recorder = new RequestRecorder({
@@ -203,6 +214,7 @@
     this.#log.info('started', { sinceStartMs: Math.round(performance.now()) });
     this.#startTimers();
     await Promise.race([this.#fleet.gossip.join(), wait(JOIN_TIMEOUT_MS)]);
+    this.#quarantine.start();
     this.#recordExchange.start();
     await this.#waitForConfiguration();
     if (this.#phase !== 'joining') return;
@@ -297,6 +309,7 @@
     this.#services.close();
     this.#reports.stop();
     this.#rateLimits.stop();
+    this.#quarantine.stop();
     this.#fleetSocket.close();
     await Promise.all(this.#servers.map(closeServer));
     this.#fleet.close();
@@ -322,6 +335,7 @@
     this.#recordExchange.runTick();
     this.#services.runTick();
     this.#rateLimits.runTick();
+    this.#quarantine.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
   }
 
@@ -340,6 +354,7 @@
         requestPhases: REQUEST_PHASES,
         listServices: () => this.#services.listDesks().map((desk) => desk.describe()),
         countMembers: () => this.#fleet.countMembers(),
+        countQuarantinedRequests: () => this.#quarantine.size,
         getConfigurationVersion: () => this.#services.routes?.configuration.version ?? 0,
         getRevision: () => this.#replica.revision,
         getStoreEra: () => this.#replica.era ?? 0,
@@ -367,24 +382,13 @@
       getRateLimitShare: (upstream) => this.#rateLimits.getShare(upstream),
       onRateLimitChange: (upstream, change, source) =>
         this.#rateLimits.recordChange(upstream, change, source),
-      crashGuard: this.#endDetector,
+      getCrashGuard: () => this.#quarantine,
       onLoadChange: () => this.#reports.recordLoad(),
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
     });
   }
 
-  #createEndDetector(): UpstreamEndDetector {
-    return new UpstreamEndDetector({
-      clock: this.#clock,
-      random: this.#random,
-      log: this.#log,
-      listUpstreams: () => this.#services.listUpstreams(),
-      onVerdict: (verdict) => this.#metrics.recordLostUpstream(verdict),
-      onEnd: () => undefined,
-    });
-  }
-
   #createFleetSocket(): FleetSocket {
     const socket = new FleetSocket({
       port: this.#settings.reports.port,
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -29,6 +29,8 @@
   readonly listServices: () => readonly ServiceMetrics[];
   /** Members of the fleet by state, as this daemon sees them. */
   readonly countMembers: () => ReadonlyMap<string, number>;
+  /** Requests that are kept from upstreams since these ended with them. */
+  readonly countQuarantinedRequests: () => number;
   readonly getConfigurationVersion: () => number;
   readonly getRevision: () => number;
   /** The newest era of the store that is known; 0 before the first answer. */
@@ -121,6 +123,11 @@
       'Version of the configuration in force',
       source.getConfigurationVersion,
     );
+    this.#registerGauge(
+      'baobabline_quarantined_requests',
+      'Requests that are refused since upstreams ended with them in flight',
+      source.countQuarantinedRequests,
+    );
     this.#registerGauge(
       'baobabline_store_revision',
       'Revision up to which changes are known',
--- a/packages/gateway/src/rate-limits/fleet-rate-limits.ts
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.ts
@@ -3,7 +3,7 @@
  * upstreams stated with other daemons.
  */
 import { hashText, isPresent, RateLimitShares } from '@baobabline/core';
-import type { Clock, Member, RateLimitChange } from '@baobabline/core';
+import type { Clock, RateLimitChange } from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
 
 import type { FleetSocket } from '../datagrams/index.js';
@@ -63,7 +63,7 @@
     this.#reports = new RateLimitReports({
       clock,
       listOwnStatements: () => services.listOwnRateLimits(),
-      countRecipients: () => this.#listRecipients().length,
+      countRecipients: () => this.#dependencies.fleet.listNearAndDispatchers().length,
       send: (limits) => this.#send(limits),
     });
     socket.setHandler('rate-limits', (body) => this.#accept(body));
@@ -74,6 +74,11 @@
     return this.#shares.getShare(upstreamId);
   }
 
+  /** Part of the fleet that this daemon has seen for some seconds, from 0 to 1. */
+  getVisiblePart(): number {
+    return this.#shares.getVisiblePart();
+  }
+
   /** Logs a change of an upstream's rate limit, and reports it if it came in an answer. */
   recordChange(upstream: string, change: RateLimitChange, source: 'answer' | 'report'): void {
     const share = this.getShare(upstream);
@@ -98,21 +103,8 @@
 
   #send(limits: readonly ReportedRateLimit[]): void {
     const body = formatRateLimits(limits);
-    this.#listRecipients().forEach(({ address }) =>
-      this.#dependencies.socket.send('rate-limits', body, address),
-    );
-  }
-
-  /**
-   * The daemons of this data centre, which may all get requests of callers, and the dispatchers of
-   * the others.
-   */
-  #listRecipients(): readonly Member[] {
-    const { fleet, selfId } = this.#dependencies;
-    const { membership, roles } = fleet;
-    const { dataCentre } = membership.self;
-    const near = membership.listPresent().filter((one) => one.dataCentre === dataCentre);
-    const far = roles.listOtherDispatchers().filter((one) => one.dataCentre !== dataCentre);
-    return [...near.filter(({ id }) => id !== selfId), ...far];
+    this.#dependencies.fleet
+      .listNearAndDispatchers()
+      .forEach(({ address }) => this.#dependencies.socket.send('rate-limits', body, address));
   }
 }
--- a/packages/gateway/src/request-recording/request-recorder.ts
+++ b/packages/gateway/src/request-recording/request-recorder.ts
@@ -23,6 +23,7 @@
   'invalid',
   'caller-gone',
   'hopeless',
+  'quarantined',
 ];
 const SERVER_ERROR_STATUS = 500;
 
--- a/packages/gateway/src/requests/request-fixtures.ts
+++ b/packages/gateway/src/requests/request-fixtures.ts
@@ -29,6 +29,10 @@
 
 /** A guard that suspects no request. */
 export const NO_CRASH_GUARD: CrashGuard = {
+  judge: () => ({ kind: 'allowed' }),
+  isSuspect: () => false,
+  recordTrial: () => undefined,
+  recordSuccess: () => undefined,
   recordLoss: (_lost, onDone) => onDone(),
 };
 
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -151,8 +151,15 @@
     return this.#tried.size + 1 < this.#request.route.maxAttempts;
   }
 
+  /** Places the request or refuses it for good; returns whether it needs no place in the queue. */
   #tryPlace(): boolean {
     if (this.#isDone) return true;
+    const { crashGuard } = this.#dependencies;
+    const verdict = crashGuard.judge(this.#request.fingerprint);
+    if (verdict.kind === 'refused') {
+      this.#refuseQuarantined(verdict.retryAfterMs);
+      return true;
+    }
     const choice = this.#scheduler.choose({
       isRepeatable: this.#isRepeatable,
       canTryAgain: this.#canTryAgain,
@@ -161,6 +168,7 @@
       excluded: this.#tried,
     });
     if (!choice) return false;
+    if (verdict.kind === 'trial') crashGuard.recordTrial(this.#request.fingerprint);
     this.#launch(choice, false);
     return true;
   }
@@ -186,6 +194,12 @@
     this.#record({ step: 'waiting', ahead: this.#scheduler.waitingCount - 1 });
   }
 
+  #refuseQuarantined(retryAfterMs: number): void {
+    const { fingerprint } = this.#request;
+    this.#record({ step: 'quarantined', fingerprint, retryAfterMs, sent: this.#sentCount });
+    this.#refuse('requestHeldBack', retryAfterMs);
+  }
+
   #refuseHopeless(waiting: QueuedRequest, retryAfterMs: number): void {
     this.#record({
       step: 'hopeless',
@@ -280,6 +294,8 @@
   #hedge(): void {
     if (this.#isDone || this.#attempts.length !== 1) return;
     if (this.#tried.size >= this.#request.route.maxAttempts) return;
+    // A second attempt could end a second upstream before the first attempt shows that it does.
+    if (this.#dependencies.crashGuard.isSuspect(this.#request.fingerprint)) return;
     const choice = this.#scheduler.choose({
       isRepeatable: true,
       canTryAgain: false,
@@ -322,6 +338,9 @@
       return;
     }
     const isGood = status < SERVER_ERROR_STATUS && (head.isSigned || status >= 300);
+    if (isGood && head.isSigned) {
+      this.#dependencies.crashGuard.recordSuccess(this.#request.fingerprint);
+    }
     this.#scheduler.recordAnswer(upstreamId, isGood, isGood ? startedAt : this.#now);
     if (isGood) {
       this.#dependencies.times.record(this.#request.route.id, elapsedMs);
@@ -354,20 +373,26 @@
       this.#tryAgainOrFail(true, true);
       return;
     }
-    if (end.kind === 'lost' || end.isDisconnect) this.#recordLoss(state);
     if (end.kind === 'lost') this.#scheduler.recordNoAnswer(upstreamId, false);
     else this.#scheduler.recordAnswer(upstreamId, false, this.#now);
     this.#unknownError ??= createRefusal(end.kind === 'lost' ? 'upstreamLost' : 'answerInvalid');
-    this.#tryAgainOrFail(this.#isRepeatable);
+    if (end.kind === 'lost' || end.isDisconnect) this.#investigateLoss(state);
+    else this.#tryAgainOrFail(this.#isRepeatable);
   }
 
-  #recordLoss(state: UpstreamState): void {
+  /**
+   * Retries after a lost connection, but not before it is clear whether the upstream has ended if
+   * another one ended with the same request lately.
+   */
+  #investigateLoss(state: UpstreamState): void {
+    const { crashGuard } = this.#dependencies;
     const { fingerprint } = this.#request;
     const othersInFlight = this.#scheduler.countInFlightElsewhere(state);
-    this.#dependencies.crashGuard.recordLoss(
-      { state, fingerprint, othersInFlight },
-      () => undefined,
-    );
+    const shouldWait = crashGuard.isSuspect(fingerprint);
+    crashGuard.recordLoss({ state, fingerprint, othersInFlight }, () => {
+      if (shouldWait) this.#tryAgainOrFail(this.#isRepeatable);
+    });
+    if (!shouldWait) this.#tryAgainOrFail(this.#isRepeatable);
   }
 
   /** Retries if possible. A retry after an attempt that was never sent costs no retry budget. */
@@ -397,13 +422,18 @@
     this.#onEnd({ kind: 'answered', answer, upstreamId });
   }
 
-  #refuse(name: 'noUpstream' | 'noCapacity', retryAfterMs?: number): void {
+  #refuse(name: 'noUpstream' | 'noCapacity' | 'requestHeldBack', retryAfterMs?: number): void {
     this.#fail(name, retryAfterMs);
   }
 
   /** Ends without a good answer. If an attempt may have run, the error never says it did not. */
   #fail(
-    name: 'noUpstream' | 'noCapacity' | 'upstreamsShed' | 'stopping' = 'upstreamsShed',
+    name:
+      | 'noUpstream'
+      | 'noCapacity'
+      | 'requestHeldBack'
+      | 'upstreamsShed'
+      | 'stopping' = 'upstreamsShed',
     retryAfterMs: number = this.#drawRetryAfterMs(),
   ): void {
     if (this.#isDone) return;
--- a/packages/gateway/src/requests/upstream-state.ts
+++ b/packages/gateway/src/requests/upstream-state.ts
@@ -2,7 +2,7 @@
  * A dispatcher's state of one usable upstream: its record, its connection pool and the number of
  * requests in flight.
  */
-import { UpstreamRateLimit } from '@baobabline/core';
+import { hashText, UpstreamRateLimit } from '@baobabline/core';
 import type { RegisteredUpstream } from '@baobabline/core';
 
 import { computeUpstreamHash } from '../reports/index.js';
@@ -15,6 +15,9 @@
   /** Number that stands for this upstream in reports between dispatchers. */
   readonly reportName: number;
 
+  /** Number that stands for this start of the upstream. */
+  readonly startName: number;
+
   #record: RegisteredUpstream;
 
   readonly pool: UpstreamPool;
@@ -33,6 +36,7 @@
   constructor(record: RegisteredUpstream, pool: UpstreamPool, warmUntil: number) {
     this.#record = record;
     this.reportName = computeUpstreamHash(record.id);
+    this.startName = hashText(`${record.id}|${record.bornAt}`);
     this.pool = pool;
     this.warmUntil = warmUntil;
   }
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -64,7 +64,8 @@
     change: RateLimitChange,
     source: 'answer' | 'report',
   ) => void;
-  readonly crashGuard: CrashGuard;
+  /** What keeps requests from upstreams that they would end. */
+  readonly getCrashGuard: () => CrashGuard;
   readonly onLoadChange: () => void;
   /** Called with the bytes of a request or an answer, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
@@ -122,6 +123,12 @@
     return this.listDesks().flatMap((desk) => desk.listUpstreams());
   }
 
+  /** Upstreams to which connections could be opened lately. */
+  listReachableUpstreams(): readonly UpstreamState[] {
+    const now = this.#ports.clock.now();
+    return this.listUpstreams().filter(({ record }) => !this.#links.isSuspect(record.id, now));
+  }
+
   /** Upstreams and the requests of this daemon in flight there, where there are any. */
   listInFlight(): readonly (readonly [string, number])[] {
     return this.listUpstreams()
@@ -151,7 +158,12 @@
 
   serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     const desk = this.#getDesk(request.service);
-    const run = new RequestRun(request, desk, { ...this.#ports, times: this.#times }, onEnd);
+    const run = new RequestRun(
+      request,
+      desk,
+      { ...this.#ports, times: this.#times, crashGuard: this.#ports.getCrashGuard() },
+      onEnd,
+    );
     run.start();
     return run;
   }
--- a/packages/gateway/src/upstream-ends/upstream-end-detector.test.ts
+++ b/packages/gateway/src/upstream-ends/upstream-end-detector.test.ts
@@ -15,6 +15,7 @@
 describe('the end of an upstream', () => {
   let now = 0;
   let reachable: Record<string, Reachability>;
+  let reachableCount: number;
   let upstreams: readonly UpstreamState[];
   let verdicts: EndVerdict[];
   let ends: UpstreamEnd[];
@@ -35,6 +36,7 @@
     mock.timers.enable({ apis: ['setTimeout'] });
     now = 0;
     reachable = {};
+    reachableCount = Number.POSITIVE_INFINITY;
     verdicts = [];
     ends = [];
     upstreams = ['u1', 'u2', 'u3', 'u4', 'u5', 'u6', 'u7', 'u8'].map(createUpstream);
@@ -43,6 +45,7 @@
       random: createRandom(5),
       log: NO_LOG,
       listUpstreams: () => upstreams,
+      listReachable: () => upstreams.slice(0, reachableCount),
       onVerdict: (verdict) => verdicts.push(verdict),
       onEnd: (end) => ends.push(end),
     });
@@ -96,6 +99,14 @@
     });
   });
 
+  it('is not believed by a daemon that could not reach most upstreams lately', () => {
+    reachable = { u1: 'refused' };
+    reachableCount = 3;
+    recordLoss(0, 'a');
+    pass(WAIT_MS);
+    expect(verdicts).to.deep.equal(['unknown']);
+  });
+
   it('blames no request where several upstreams end at the same moment', () => {
     reachable = { u1: 'refused', u2: 'refused', u3: 'refused' };
     ['a', 'b', 'c'].forEach((fingerprint, index) => recordLoss(index, fingerprint));
--- a/packages/gateway/src/upstream-ends/upstream-end-detector.ts
+++ b/packages/gateway/src/upstream-ends/upstream-end-detector.ts
@@ -36,6 +36,8 @@
   readonly log: Log;
   /** All upstreams that this daemon knows. */
   readonly listUpstreams: () => readonly UpstreamState[];
+  /** Those to which connections could be opened lately. */
+  readonly listReachable: () => readonly UpstreamState[];
   readonly onVerdict: (verdict: EndVerdict) => void;
   /** Called when an upstream has ended and a request may be the cause. */
   readonly onEnd: (end: UpstreamEnd) => void;
@@ -120,7 +122,7 @@
   /** Calls back with whether most of some other upstreams, drawn at random, accept a connection. */
   #checkControls(suspect: UpstreamState, onDone: (isConnected: boolean) => void): void {
     const controls = this.#drawControls(suspect);
-    const needed = Math.ceil(controls.length / 2);
+    const needed = Math.max(1, Math.ceil(controls.length / 2));
     let open = 0;
     let replies = 0;
     let isDone = false;
@@ -129,8 +131,11 @@
       isDone = true;
       onDone(open >= needed);
     };
-    if (controls.length === 0) {
-      finish();
+    const { listUpstreams, listReachable } = this.#dependencies;
+    const count = listUpstreams().length;
+    if (listReachable().length < count / 2 || controls.length === 0) {
+      // Without another upstream there is nothing to compare with.
+      onDone(count === 1);
       return;
     }
     setTimeout(finish, CONTROL_TIMEOUT_MS);
@@ -144,9 +149,9 @@
   }
 
   #drawControls(suspect: UpstreamState): readonly UpstreamState[] {
-    const { listUpstreams, random } = this.#dependencies;
+    const { listReachable, random } = this.#dependencies;
     const refused = this.#refusals.map(({ state }) => state);
-    return listUpstreams()
+    return listReachable()
       .filter((state) => state !== suspect && !refused.includes(state))
       .map((state) => ({ state, order: random.next() }))
       .sort((left, right) => left.order - right.order)
