--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -16,6 +16,7 @@
 } from './request-fixtures.js';
 import { RequestRun } from './request-run.js';
 import { ServiceScheduler } from './service-scheduler.js';
+import type { CrashGuard } from './crash-guard.js';
 import type { RequestEnd } from './types.js';
 import { UpstreamState } from './upstream-state.js';
 
@@ -36,6 +37,7 @@
   let ends: RequestEnd[] = [];
   let now = 0;
   let count = 0;
+  let guard: CrashGuard;
   const clock = { now: () => now };
 
   /** Lets simulated time pass, in small steps, with all that happens in it. */
@@ -100,6 +102,7 @@
     probed = [];
     ends = [];
     reactions = {};
+    guard = NO_CRASH_GUARD;
     desk = createDesk(100);
     desk.applyRecords([
       buildUpstreamRecord('u1'),
@@ -123,7 +126,7 @@
         random: createRandom(3),
         dialect: PLAIN_DIALECT,
         times: new AttemptTimes(),
-        crashGuard: NO_CRASH_GUARD,
+        crashGuard: guard,
         onLoadChange: () => undefined,
         onBytes: () => undefined,
         onStep: () => undefined,
@@ -312,6 +315,113 @@
     expect([sent.length, desk.waitingCount]).to.deep.equal([5, 0]);
   });
 
+  describe('that may crash upstreams', () => {
+    const QUARANTINED: CrashGuard = {
+      ...NO_CRASH_GUARD,
+      judge: () => ({ kind: 'refused', retryAfterMs: 45_000 }),
+      isSuspect: () => true,
+    };
+
+    it('is refused at once as not run while it is quarantined, with the time of its return', async () => {
+      guard = QUARANTINED;
+      setAll(buildAnswerEnd(200));
+      start('unsafe');
+      expect([sent, describeEnd()]).to.deep.equal([[], '503 not-run']);
+      const [end] = ends;
+      expect(end?.kind === 'refused' && end.error.retryAfterSeconds).to.equal(45);
+    });
+
+    it('is never said to be not run once an attempt may have run', async () => {
+      setAll(LOST);
+      guard = {
+        ...NO_CRASH_GUARD,
+        isSuspect: () => true,
+        judge: () => (sent.length > 0 ? QUARANTINED.judge('') : { kind: 'allowed' }),
+        recordLoss: (_lost, onDone) => setTimeout(onDone, 40),
+      };
+      start('safe', { maxAttempts: 3 });
+      await wait(100);
+      expect([sent.length, describeEnd()]).to.deep.equal([1, '502 unknown']);
+    });
+
+    it('waits with its retry for the verdict on its last upstream if another one ended with it', async () => {
+      setAll(LOST);
+      guard = {
+        ...NO_CRASH_GUARD,
+        isSuspect: () => true,
+        recordLoss: (_lost, onDone) => setTimeout(onDone, 60),
+      };
+      start('safe');
+      await wait(50);
+      expect(sent).to.have.length(1);
+      await wait(30);
+      expect(sent).to.have.length(2);
+    });
+
+    it('is retried at once where no upstream ended with it before', async () => {
+      setAll(LOST);
+      guard = { ...NO_CRASH_GUARD, recordLoss: () => undefined };
+      start('safe');
+      await wait(10);
+      expect(sent).to.have.length(2);
+    });
+
+    it('is not hedged while an upstream that ended with it speaks against it', async () => {
+      setAll('hang');
+      guard = { ...NO_CRASH_GUARD, isSuspect: () => true };
+      start('safe', { timeoutMs: 1000 });
+      await wait(900);
+      expect(sent).to.have.length(1);
+    });
+
+    it('leaves the queue when it is quarantined while it waits', async () => {
+      setAll('hang');
+      let isQuarantined = false;
+      guard = {
+        ...NO_CRASH_GUARD,
+        judge: () => (isQuarantined ? QUARANTINED.judge('') : { kind: 'allowed' }),
+      };
+      const holders = [1, 2, 3].map(() => start('unsafe', { timeoutMs: 5000 }));
+      start('unsafe', { timeoutMs: 5000 });
+      expect(desk.waitingCount).to.equal(1);
+      isQuarantined = true;
+      holders[0]?.cancel();
+      await wait(40);
+      expect([sent.length, desk.waitingCount, describeEnd()]).to.deep.equal([3, 0, '503 not-run']);
+      holders.forEach((holder) => holder.cancel());
+    });
+
+    it('is recorded as a trial only once it is sent', async () => {
+      setAll('hang');
+      const trials: string[] = [];
+      const holders = [1, 2, 3].map(() => start('unsafe', { timeoutMs: 5000 }));
+      guard = {
+        ...NO_CRASH_GUARD,
+        judge: () => ({ kind: trials.length === 0 ? 'trial' : 'allowed' }),
+        recordTrial: (fingerprint) => trials.push(fingerprint),
+      };
+      start('unsafe', { timeoutMs: 5000 });
+      expect(trials).to.deep.equal([]);
+      holders[0]?.cancel();
+      await wait(40);
+      expect([sent.length, trials.length]).to.deep.equal([4, 1]);
+      holders.forEach((holder) => holder.cancel());
+    });
+
+    it('tells of its success only with an answer that its upstream has signed', async () => {
+      const successes: string[] = [];
+      guard = { ...NO_CRASH_GUARD, recordSuccess: (fingerprint) => successes.push(fingerprint) };
+      setAll(buildAnswerEnd(404, { isSigned: false }));
+      start('safe');
+      await wait(10);
+      expect(successes).to.have.length(0);
+      setAll(buildAnswerEnd(200));
+      start('safe');
+      await wait(10);
+      expect(successes).to.have.length(1);
+    });
+  });
+
   it('is not passed on when its time is over before its turn on the connection comes', async () => {
     start('unsafe', { timeoutMs: -1 });
     await wait(20);
