Forget what befell an earlier start of an upstream that is back

An upstream that starts again under its id is another start, which callers could not use: the suspicion and the failed links of the start that a request had ended were kept by id, so that it was avoided for seconds. Class of fault: evidence kept beyond the life of what it was about. Both estimates are dropped when a record describes another start.

--- a/packages/core/src/failure-estimation/failure-estimator.ts
+++ b/packages/core/src/failure-estimation/failure-estimator.ts
@@ -165,6 +165,11 @@
     return this.#entries.size > 0;
   }
 
+  /** Removes what is known of an upstream, which has started again. */
+  forget(upstreamId: string): void {
+    this.#entries.delete(upstreamId);
+  }
+
   /** Removes all upstreams but the given ones. */
   keep(upstreamIds: ReadonlySet<string>): void {
     [...this.#entries.keys()]
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -315,6 +315,21 @@
     expect([sent.length, desk.waitingCount]).to.deep.equal([5, 0]);
   });
 
+  it('goes to an upstream that has started again, whatever befell its earlier start', async () => {
+    const startedAgain = { ...buildUpstreamRecord('u1'), bornAt: 2 };
+    desk.applyRecords([buildUpstreamRecord('u1')]);
+    reactions = { u1: LOST };
+    start('unsafe');
+    await wait(10);
+    reactions = { u1: UNSENT };
+    start('unsafe');
+    await wait(10);
+    expect(desk.describe().upstreams.trusted).to.equal(0);
+    reactions = { u1: buildAnswerEnd(200) };
+    desk.applyRecords([startedAgain]);
+    expect(desk.describe().upstreams.trusted).to.equal(1);
+  });
+
   describe('that may crash upstreams', () => {
     const QUARANTINED: CrashGuard = {
       ...NO_CRASH_GUARD,
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -141,8 +141,12 @@
     const wanted = new Map(records.map((record) => [record.id, record]));
     this.#upstreams.forEach((state, id) => {
       const record = wanted.get(id);
-      if (record && state.isSameStart(record)) state.applyRecord(record);
-      else this.#drop(id, state);
+      if (record && state.isSameStart(record)) {
+        state.applyRecord(record);
+        return;
+      }
+      this.#drop(id, state);
+      if (record) this.#forgetEarlierStart(id);
     });
     records
       .filter(({ id }) => !this.#upstreams.has(id))
@@ -379,6 +383,12 @@
     return trust.isSuspect(record.id, now) ? 'suspect' : 'trusted';
   }
 
+  #forgetEarlierStart(id: string): void {
+    const { trust, links } = this.#dependencies;
+    trust.forget(id);
+    links.forget(id);
+  }
+
   #drop(id: string, state: UpstreamState): void {
     state.pool.close();
     this.#upstreams.delete(id);
