Add a request that crashes upstreams to the soak

It is sent all the time to daemons drawn at random. The judge sums its runs over the fleet as upstreams saw them, later than 3 s after the third crash, and looks at the other callers for requests that were taken for it.

--- a/packages/experiments/src/soak/callers.ts
+++ b/packages/experiments/src/soak/callers.ts
@@ -2,7 +2,7 @@
  * The callers of a soak: they keep their connections until these are closed, open new ones at the
  * same daemon until its process is gone, and take down how each request ended.
  */
-import { chooseOne } from '@baobabline/core';
+import { chooseOne, createRandom } from '@baobabline/core';
 import type { RandomSource } from '@baobabline/core';
 import { buildAnswerBody, CallerConnection, GATEWAY_PORTS } from '@baobabline/stand-ins';
 import type { ConnectionRequest } from '@baobabline/stand-ins';
@@ -14,6 +14,7 @@
 import type { SoakDaemons } from './daemons.js';
 import type { SoakRecorder } from './recorder.js';
 import type { SeenRequest } from './types.js';
+import { CRASHING_PATH } from './upstreams.js';
 
 export const HOST = 'soak.example';
 
@@ -27,6 +28,9 @@
 /** Callers go to another daemon with this chance after a turn, and often to one that is stopping. */
 const MOVE_CHANCE = 0.03;
 const STOPPING_CHANCE = 0.6;
+const CRASH_INTERVAL_MS = 300;
+const CRASH_LIMIT_MS = 1000;
+const CRASH_SEED = 37;
 const SHOWN_BYTES = 120;
 
 type Place = { readonly daemon: SoakDaemon; readonly life: number };
@@ -40,6 +44,9 @@
 
   readonly #prefix: string;
 
+  /** Has draws of its own, so that those of the other callers are the same with and without it. */
+  readonly #crashRandom = createRandom(CRASH_SEED);
+
   #count = 0;
 
   #isOver = false;
@@ -66,6 +73,15 @@
     this.#isOver = true;
   }
 
+  /** Sends a request that crashes upstreams to one daemon after the other, until told to stop. */
+  async runCrashing(): Promise<void> {
+    if (this.#isOver) return;
+    const daemon = chooseOne(this.#crashRandom, this.#daemons.all);
+    if (daemon) await this.sendAlone(daemon, `${CRASHING_PATH}-${this.#prefix}`, CRASH_LIMIT_MS);
+    await wait(CRASH_INTERVAL_MS);
+    await this.runCrashing();
+  }
+
   /** Sends one request on a connection of its own. */
   async sendAlone(daemon: SoakDaemon, path: string, timeLimitMs: number): Promise<SeenRequest> {
     const place = { daemon, life: daemon.life };
--- a/packages/experiments/src/soak/judge.test.ts
+++ b/packages/experiments/src/soak/judge.test.ts
@@ -162,4 +162,30 @@
     expect(draw().length).to.be.greaterThan(10);
     expect(draw().every(({ startMs, endMs }) => startMs > 2500 && endMs < 27_500)).to.equal(true);
   });
+
+  it('finds a request that crashes upstreams on and on, and one that is taken for it', () => {
+    const path = '/read/crash-1';
+    const ids = Array.from({ length: 7 }, (_, index) => `c${index}`);
+    const requests = ids.flatMap((id) => buildRequest({ id, path, status: 502, method: 'GET' }));
+    const runs = ids.map((requestId, index) => ({
+      ...RUN,
+      requestId,
+      atMs: index * 2000,
+      endMs: index * 2000 + 40,
+    }));
+    const promise = 'few crashes by one request';
+    expect(listBroken({ requests, runs })).to.deep.equal([]);
+    const more = runs.map((run) => ({ ...run, atMs: run.atMs * 2, endMs: run.endMs * 2 }));
+    expect(listBroken({ requests, runs: more })).to.deep.equal([promise]);
+    const strikes = [{ ...STOP, kind: 'pause', atMs: 0, endMs: 60_000 } as const];
+    expect(listBroken({ requests, runs: more, struck: strikes })).to.deep.equal([]);
+    const heldBack = buildRequest({
+      status: 503,
+      signature: '',
+      body: '260 bytes: {"type":"urn:baobabline:result:request-held-back","title":"',
+    });
+    expect(listBroken({ requests: heldBack, runs: [] })).to.deep.equal([
+      'only crashing requests are held back',
+    ]);
+  });
 });
--- a/packages/experiments/src/soak/judge.ts
+++ b/packages/experiments/src/soak/judge.ts
@@ -3,6 +3,8 @@
  * run of what may run once, true refusals, planned stops that cut nothing, no work for those that
  * left, configurations that are in force in time and never revert, processes that do not fall.
  */
+import { RESULT_CODES } from '@baobabline/core';
+
 import {
   checkCuts,
   computeStall,
@@ -20,6 +22,7 @@
   StatedLimit,
   Strike,
 } from './types.js';
+import { CRASHING_PATH } from './upstreams.js';
 
 /** A configuration or an upstream's leaving takes effect so soon where the store answers. */
 const IN_FORCE_MS = 2000;
@@ -31,6 +34,9 @@
 const LIMIT_SLACK = 5;
 /** A daemon's requests count towards a limit so long after it has passed on an answer with it. */
 const INFORMED_MS = 500;
+/** Retries of a request that has crashed three upstreams, over the whole fleet. */
+const MAX_LATE_CRASHES = 3;
+const HELD_BACK_NAME = RESULT_CODES.requestHeldBack.name;
 /** The harness sees the end of a process so late at most. */
 const EXIT_SLACK_MS = 100;
 
@@ -239,6 +245,43 @@
   });
 }
 
+function isCrashing({ path }: SeenRequest): boolean {
+  return path.startsWith(CRASHING_PATH);
+}
+
+/**
+ * A request that has crashed three upstreams reaches few more, over the whole fleet; daemons that were
+ * struck lately do not count. No other request is taken for it.
+ */
+function checkCrashes({ requests, runs, struck }: SoakRecord): readonly Fault[] {
+  const daemonById = new Map(requests.filter(isCrashing).map(({ id, daemon }) => [id, daemon]));
+  const crashes = runs
+    .filter(({ requestId }) => daemonById.has(requestId))
+    .sort((left, right) => left.atMs - right.atMs);
+  const settledMs = (crashes[2]?.endMs ?? Number.POSITIVE_INFINITY) + SETTLE_MS;
+  const late = crashes.filter(
+    ({ requestId, atMs }) =>
+      atMs > settledMs &&
+      !struck.some(
+        (strike) =>
+          strike.daemon === daemonById.get(requestId) &&
+          isWithin(atMs, strike.atMs, strike.endMs + SETTLE_MS),
+      ),
+  );
+  const mistaken = requests.filter(
+    (request) => !isCrashing(request) && request.body.includes(HELD_BACK_NAME),
+  );
+  return [
+    ...(late.length > MAX_LATE_CRASHES
+      ? [{ promise: 'few crashes by one request', detail: `${late.length} later than three` }]
+      : []),
+    ...mistaken.map(({ id, path }) => ({
+      promise: 'only crashing requests are held back',
+      detail: `${id}: ${path}`,
+    })),
+  ];
+}
+
 /** Lists the promises that were broken. */
 export function judgeSoak(record: SoakRecord): readonly Fault[] {
   const runs = groupRuns(record.runs);
@@ -256,5 +299,6 @@
     ...checkInForce(record),
     ...checkExits(record),
     ...checkLimits(record),
+    ...checkCrashes(record),
   ];
 }
--- a/packages/experiments/src/soak/soak.ts
+++ b/packages/experiments/src/soak/soak.ts
@@ -155,7 +155,7 @@
     disturbances: readonly Disturbance[],
   ): Promise<void> {
     const lengthMs = this.#options.seconds * 1000;
-    const calling = callers.run();
+    const calling = Promise.all([callers.run(), callers.runCrashing()]);
     const watching = this.#checkVersions(daemons, callers);
     const others = [
       this.#store.runCopies(),
--- a/packages/experiments/src/soak/upstreams.ts
+++ b/packages/experiments/src/soak/upstreams.ts
@@ -25,6 +25,9 @@
 const LINK_DELAY_MS = 40;
 /** Connections that fell silent stay so until the daemons give them up. */
 const SILENCE_MS = 3000;
+/** Requests with this in their path end the upstream that runs them, which is back after a while. */
+export const CRASHING_PATH = '/read/crash';
+const RESTART_MS = 1500;
 /** Requests per second that the first upstreams take from the whole fleet. */
 const RATE_LIMITS: readonly number[] = [2, 0.5];
 
@@ -48,6 +51,8 @@
 
   #count = 0;
 
+  #isClosed = false;
+
   constructor(store: StoreStandIn, recorder: SoakRecorder) {
     this.#store = store;
     this.#recorder = recorder;
@@ -104,6 +109,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     const all = [...this.#current, ...this.#retired];
     await Promise.all(all.map(async ({ instance }) => instance.close()));
     await Promise.all(all.map(async ({ proxy }) => proxy.stop()));
@@ -116,10 +122,15 @@
 
   async #add(): Promise<void> {
     this.#count += 1;
+    const id = `i-${this.#count}`;
     const instance = new InstanceStandIn({
-      id: `i-${this.#count}`,
+      id,
       workMs: (url) => readQuery(url, 'work') ?? WORK_MS,
       slots: SLOTS,
+      isCrashing: (url) => url.includes(CRASHING_PATH),
+      onCrash: () => {
+        this.#replaceCrashed(id).catch(() => undefined);
+      },
     });
     await instance.listen(LOOPBACK);
     const proxy = new FaultProxy({ address: LOOPBACK, port: instance.port });
@@ -129,6 +140,19 @@
     this.#current = [...this.#current, upstream];
   }
 
+  /** Another start of a crashed upstream comes after a while, with another id and port. */
+  async #replaceCrashed(id: string): Promise<void> {
+    const upstream = [...this.#current, ...this.#retired].find((one) => one.instance.id === id);
+    if (!upstream) return;
+    this.#current = this.#current.filter((one) => one !== upstream);
+    if (!this.#retired.includes(upstream)) this.#retired = [...this.#retired, upstream];
+    await upstream.proxy.stop();
+    await wait(RESTART_MS);
+    if (this.#isClosed) return;
+    this.#store.remove(`servers/${id}`);
+    await this.#add();
+  }
+
   async #retire(upstream: Upstream): Promise<void> {
     this.#current = this.#current.filter((one) => one !== upstream);
     this.#retired = [...this.#retired, upstream];
