Tell the soak's judge what ended with an upstream that crashed

The stand-in now marks all that it runs when it crashes, so that the judge knows of it from the upstream itself.

--- a/packages/experiments/src/soak/judge-cuts.ts
+++ b/packages/experiments/src/soak/judge-cuts.ts
@@ -34,7 +34,7 @@
 /** Statuses that promise that the request has not run and never will. */
 export const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 /** Faults of an instance after which it answers nothing, or nothing whole. */
-const BROKEN_FAULTS: readonly string[] = ['reset', 'hang', 'unframed-cut', 'errors'];
+const BROKEN_FAULTS: readonly string[] = ['reset', 'hang', 'unframed-cut', 'errors', 'crash'];
 /** Links that are only slow bring everything. */
 const HARMLESS_LINK_KINDS: readonly string[] = ['link-delay'];
 
--- a/packages/stand-ins/src/platform/instance-stand-in.ts
+++ b/packages/stand-ins/src/platform/instance-stand-in.ts
@@ -10,7 +10,7 @@
  * `errors` answers 500 at once, `shed` states that it did not run the request, `reset` runs it and
  * resets the connection, `hang` runs it and never answers, `unframed-cut` resets an answer without
  * a length midway, `late-extra` repeats each answer where the next one is expected, `crash` ends the
- * instance while the request runs.
+ * instance while the request runs, and with it all that it runs.
  */
 export type InstanceFault =
   'errors' | 'shed' | 'reset' | 'hang' | 'unframed-cut' | 'late-extra' | 'crash';
@@ -200,6 +200,9 @@
     const { socket } = message;
     if (fault === 'hang') return;
     if (fault === 'crash') {
+      this.#runs
+        .filter(({ endedAt }) => endedAt === undefined)
+        .forEach((run) => Object.assign(run, { fault: 'crash' }));
       this.close().then(() => this.#settings.onCrash?.());
       return;
     }
