Pass on reports of crashes by dispatchers only, and count starts by time

Ends of one name count as one only within a second, and a connection refutes an end only if it was open when the upstream is said to have ended.

Every daemon passed on what it learned: some 32 x 13 datagrams for each end; now the dispatchers do, and whoever knows of a success.

--- a/packages/core/src/crash-quarantine/crash-quarantine.test.ts
+++ b/packages/core/src/crash-quarantine/crash-quarantine.test.ts
@@ -84,6 +84,13 @@
     expect(quarantine.judge('a').kind).to.equal('allowed');
   });
 
+  it('counts an upstream twice that crashes again under the same name', () => {
+    quarantine.recordCrash(7, ['a'], 0);
+    now += 4000;
+    quarantine.recordCrash(7, ['a'], 0);
+    expect(quarantine.judge('a').kind).to.equal('refused');
+  });
+
   it('states when the request may come back, tries it once, and waits longer after each crash', () => {
     recordCrashes(2, ['a']);
     expect(quarantine.judge('a')).to.deep.equal({ kind: 'refused', retryAfterMs: MINUTE_MS });
@@ -141,7 +148,7 @@
     now += 100;
     quarantine.recordSuccess('a');
     const answers = other.listReportable().map((suspect) => quarantine.applyReport(suspect));
-    expect(answers).to.deep.equal([true]);
+    expect(answers).to.deep.equal(['refuted']);
     expect(quarantine.judge('a').kind).to.equal('allowed');
     quarantine.listReportable().forEach((suspect) => other.applyReport(suspect));
     expect(other.judge('a').kind).to.equal('allowed');
@@ -156,7 +163,7 @@
       triedAt: (suspect.triedAt ?? 0) + 300,
       crashes: suspect.crashes.map((crash) => ({ ...crash, at: crash.at + 300 })),
     };
-    expect(delayed && quarantine.applyReport(delayed)).to.equal(false);
+    expect(delayed && quarantine.applyReport(delayed)).to.equal('known');
     expect(quarantine.listReportable()).to.deep.equal([suspect]);
   });
 
--- a/packages/core/src/crash-quarantine/crash-quarantine.ts
+++ b/packages/core/src/crash-quarantine/crash-quarantine.ts
@@ -27,6 +27,12 @@
   | { readonly kind: 'trial' }
   | { readonly kind: 'refused'; readonly retryAfterMs: number };
 
+/**
+ * What a report of another daemon did: nothing that was not known, an end or a trial was learned, or
+ * this daemon knows of a success that refutes it.
+ */
+export type ReportEffect = 'known' | 'learned' | 'refuted';
+
 /** A change of the quarantine, with the evidence for the log. */
 export type QuarantineChange = {
   readonly fingerprint: string;
@@ -139,18 +145,16 @@
     });
   }
 
-  /**
-   * Takes in what another daemon knows. Returns whether this daemon has something to report: it
-   * learned of an end or a trial, or knows of a success that the other does not.
-   */
-  applyReport({ fingerprint, ...reported }: SuspectRequest): boolean {
-    if (reported.crashes.length === 0 && !this.#suspects.has(fingerprint)) return false;
+  /** Takes in what another daemon knows. */
+  applyReport({ fingerprint, ...reported }: SuspectRequest): ReportEffect {
+    if (reported.crashes.length === 0 && !this.#suspects.has(fingerprint)) return 'known';
     const hasChanged = this.#put(fingerprint, reported);
     const { succeededAt } = this.#suspects.get(fingerprint)?.suspicion ?? NO_SUSPICION;
     const isRefuted =
       listCountedCrashes(reported).length > 0 &&
       listCountedCrashes({ ...reported, succeededAt }).length === 0;
-    return hasChanged || isRefuted;
+    if (isRefuted) return 'refuted';
+    return hasChanged ? 'learned' : 'known';
   }
 
   /** Forgets what is out of date; to be called regularly. */
--- a/packages/core/src/crash-quarantine/crash-suspicion.ts
+++ b/packages/core/src/crash-quarantine/crash-suspicion.ts
@@ -11,7 +11,7 @@
 
 /** The end of one start of an upstream, while a request was in flight there. */
 export type CrashEvidence = {
-  /** Names the start of the upstream that ended. */
+  /** Stands for the upstream that ended, and its start as far as it states one. */
   readonly crash: number;
   /** In milliseconds of the daemon's clock. */
   readonly at: number;
@@ -44,6 +44,8 @@
 /** Time without the request before it is tried once more, by the number of ends beyond the first two. */
 const QUARANTINE_MS: readonly number[] = [60_000, 600_000, 3_600_000];
 
+/** Reports of one end differ by less than this; a start takes longer. */
+const SAME_END_MS = 1000;
 /** Reports of one trial differ by less than this. */
 const SAME_TRIAL_MS = 1000;
 
@@ -92,15 +94,22 @@
   return added > known + SAME_TRIAL_MS ? added : known;
 }
 
+/** An upstream that comes back may state nothing that tells its starts apart. */
+function isSameEnd(left: CrashEvidence, right: CrashEvidence): boolean {
+  return left.crash === right.crash && Math.abs(left.at - right.at) < SAME_END_MS;
+}
+
 /** Merges what another daemon knows into what is known here. */
 export function mergeSuspicions(known: CrashSuspicion, added: CrashSuspicion): CrashSuspicion {
-  const names = new Set(known.crashes.map(({ crash }) => crash));
   const crashes = known.crashes.map((one) => {
-    const same = added.crashes.find(({ crash }) => crash === one.crash);
+    const same = added.crashes.find((other) => isSameEnd(one, other));
     return same && same.blame > one.blame ? { ...one, blame: same.blame } : one;
   });
   return {
-    crashes: [...crashes, ...added.crashes.filter(({ crash }) => !names.has(crash))],
+    crashes: [
+      ...crashes,
+      ...added.crashes.filter((one) => !known.crashes.some((other) => isSameEnd(one, other))),
+    ],
     succeededAt: computeLatest(known.succeededAt, added.succeededAt),
     triedAt: computeLatestTrial(known.triedAt, added.triedAt),
   };
--- a/packages/core/src/crash-quarantine/index.ts
+++ b/packages/core/src/crash-quarantine/index.ts
@@ -3,6 +3,7 @@
   CrashQuarantineDependencies,
   QuarantineChange,
   QuarantineVerdict,
+  ReportEffect,
   SuspectRequest,
 } from './crash-quarantine.js';
 export type { CrashEvidence, CrashSuspicion } from './crash-suspicion.js';
--- a/packages/gateway/src/crash-quarantine/fleet-quarantine.ts
+++ b/packages/gateway/src/crash-quarantine/fleet-quarantine.ts
@@ -3,7 +3,13 @@
  * this daemon and the others have seen, and exchanges what is known.
  */
 import { CrashQuarantine, hashText } from '@baobabline/core';
-import type { Clock, QuarantineVerdict, RandomSource, SuspectRequest } from '@baobabline/core';
+import type {
+  Clock,
+  QuarantineVerdict,
+  RandomSource,
+  ReportEffect,
+  SuspectRequest,
+} from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
 
 import type { FleetSocket } from '../datagrams/index.js';
@@ -34,6 +40,11 @@
   readonly onVerdict: (verdict: EndVerdict) => void;
 };
 
+/** Daemons of this data centre that are asked besides the dispatchers, after a start. */
+const QUERIED_NEIGHBOURS = 4;
+/** Reports are repeated, and so refuted again. */
+const REFUTED_LOG_INTERVAL_MS = 10_000;
+
 export class FleetQuarantine implements CrashGuard {
   readonly #dependencies: FleetQuarantineDependencies;
 
@@ -43,6 +54,9 @@
 
   readonly #reports: QuarantineReports;
 
+  /** When the report of an upstream's end was last logged as refuted. */
+  readonly #refutedAt = new Map<string, number>();
+
   constructor(dependencies: FleetQuarantineDependencies) {
     this.#dependencies = dependencies;
     const { clock, random, log, upstreams, onVerdict } = dependencies;
@@ -108,6 +122,10 @@
   }
 
   runTick(): void {
+    const oldest = this.#dependencies.clock.now() - REFUTED_LOG_INTERVAL_MS;
+    this.#refutedAt.forEach((at, id) => {
+      if (at < oldest) this.#refutedAt.delete(id);
+    });
     this.#quarantine.runTick();
     this.#reports.runTick();
   }
@@ -121,27 +139,29 @@
     this.#reports.recordChange();
   }
 
-  /** Takes in a report, but for ends of upstreams that have connections to this daemon still. */
-  #applyReport(suspects: readonly SuspectRequest[]): boolean {
-    const alive = new Set(
-      this.#dependencies.upstreams
-        .listUpstreams()
-        .filter(({ pool }) => pool.hasOpenConnection)
-        .map(({ startName }) => startName),
-    );
-    const refuted = suspects.flatMap(({ crashes }) =>
-      crashes.map(({ crash }) => crash).filter((crash) => alive.has(crash)),
+  /** Takes in a report, but for ends of upstreams whose connections to this daemon outlived them. */
+  #applyReport(suspects: readonly SuspectRequest[]): readonly ReportEffect[] {
+    const upstreams = new Map(
+      this.#dependencies.upstreams.listUpstreams().map((state) => [state.startName, state]),
     );
-    if (refuted.length > 0) {
-      this.#dependencies.log.info('crash-report-refuted', { crashes: [...new Set(refuted)] });
+    return suspects.map((suspect) => {
+      const crashes = suspect.crashes.filter(({ crash, at }) => {
+        const state = upstreams.get(crash);
+        if (!state?.pool.hasBeenOpenSince(at)) return true;
+        this.#logRefuted(state);
+        return false;
+      });
+      return this.#quarantine.applyReport({ ...suspect, crashes });
+    });
+  }
+
+  #logRefuted({ record: { id } }: UpstreamState): void {
+    const now = this.#dependencies.clock.now();
+    if (now - (this.#refutedAt.get(id) ?? Number.NEGATIVE_INFINITY) < REFUTED_LOG_INTERVAL_MS) {
+      return;
     }
-    return suspects
-      .map((suspect) => ({
-        ...suspect,
-        crashes: suspect.crashes.filter(({ crash }) => !alive.has(crash)),
-      }))
-      .map((suspect) => this.#quarantine.applyReport(suspect))
-      .some(Boolean);
+    this.#refutedAt.set(id, now);
+    this.#dependencies.log.info('crash-report-refuted', { upstream: id });
   }
 
   #createTurns(): TrialTurns {
@@ -164,7 +184,11 @@
       isDispatcher: () => fleet.isDispatcher,
       countRecipients: () => fleet.listNearAndDispatchers().length,
       send: (body) => send(body, fleet.listNearAndDispatchers()),
-      sendQuery: (body) => send(body, fleet.roles.listOtherDispatchers()),
+      sendQuery: (body) =>
+        send(body, [
+          ...fleet.roles.listOtherDispatchers(),
+          ...fleet.listNearAndDispatchers().slice(0, QUERIED_NEIGHBOURS),
+        ]),
       sendTo: (body, address) => socket.send('crash-reports', body, address),
       apply: (suspects) => this.#applyReport(suspects),
     });
--- a/packages/gateway/src/crash-quarantine/quarantine-reports.ts
+++ b/packages/gateway/src/crash-quarantine/quarantine-reports.ts
@@ -1,9 +1,10 @@
 /**
- * Decides when a daemon reports what it knows of requests that end upstreams: changes at once and
- * twice more, since datagrams are lost; as long as requests are quarantined, dispatchers repeat them
- * at intervals. A daemon that has just started asks the dispatchers.
+ * Decides when a daemon reports what it knows of requests that end upstreams: what it has seen itself
+ * at once and twice more, since datagrams are lost. Dispatchers also pass on what they learn, and
+ * repeat it at intervals as long as requests are quarantined. A daemon that has just started asks
+ * them.
  */
-import type { Clock, SuspectRequest } from '@baobabline/core';
+import type { Clock, ReportEffect, SuspectRequest } from '@baobabline/core';
 
 import { formatQuarantineReport, parseQuarantineReport } from './quarantine-message.js';
 
@@ -17,8 +18,8 @@
   readonly sendQuery: (body: Buffer) => void;
   /** Sends an answer to the daemon that has asked. */
   readonly sendTo: (body: Buffer, address: string) => void;
-  /** Takes in a report; returns whether this daemon has news for the others. */
-  readonly apply: (suspects: readonly SuspectRequest[]) => boolean;
+  /** Takes in a report; returns what each row of it did. */
+  readonly apply: (suspects: readonly SuspectRequest[]) => readonly ReportEffect[];
 };
 
 const CHANGE_DELAY_MS = 5;
@@ -79,11 +80,13 @@
 
   /** Accepts the body of a datagram; returns whether it is a valid report. */
   accept(body: Buffer, sender: string): boolean {
-    const { clock, apply, sendTo } = this.#dependencies;
+    const { clock, apply, sendTo, isDispatcher } = this.#dependencies;
     const report = parseQuarantineReport(body, clock.now());
     if (!report) return false;
     if (report.isQuery) this.#listBodies().forEach((answer) => sendTo(answer, sender));
-    if (apply(report.suspects)) this.recordChange();
+    const effects = apply(report.suspects);
+    const shouldPassOn = effects.includes('learned') && isDispatcher();
+    if (shouldPassOn || effects.includes('refuted')) this.recordChange();
     return true;
   }
 
--- a/packages/gateway/src/crash-quarantine/simulated-quarantine-fleet.ts
+++ b/packages/gateway/src/crash-quarantine/simulated-quarantine-fleet.ts
@@ -42,6 +42,7 @@
 /** Time after which a change of the fleet is known to all. */
 const SETTLE_MS = 3000;
 const MAX_ATTEMPTS = 2;
+const QUERIED_NEIGHBOURS = 4;
 
 function getDataCentre(id: string): string {
   return id.split('-')[0] ?? '';
@@ -124,9 +125,13 @@
       isDispatcher: () => this.#listDispatchers(id).some((one) => one.id === id),
       countRecipients: () => this.#listRecipients(id).length,
       send: (body) => this.#listRecipients(id).forEach((to) => this.#pass(id, to, body)),
-      sendQuery: (body) => this.#listDispatchers(id).forEach((to) => this.#pass(id, to.id, body)),
+      sendQuery: (body) =>
+        [
+          ...this.#listDispatchers(id).map((one) => one.id),
+          ...this.#listRecipients(id).slice(0, QUERIED_NEIGHBOURS),
+        ].forEach((to) => this.#pass(id, to, body)),
       sendTo: (body, address) => this.#pass(id, address, body),
-      apply: (suspects) => suspects.map((suspect) => quarantine.applyReport(suspect)).some(Boolean),
+      apply: (suspects) => suspects.map((suspect) => quarantine.applyReport(suspect)),
     });
     this.#daemons.get(id)?.reports.stop();
     this.#daemons.set(id, { id, startedAt: this.#now, quarantine, reports });
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -75,6 +75,8 @@
 
   #isConnected = false;
 
+  #connectedAt = Number.POSITIVE_INFINITY;
+
   #isClosed = false;
 
   #isRequestWritten = false;
@@ -121,8 +123,9 @@
     return this.#isConnected && !this.#isClosed && this.#exchange === undefined;
   }
 
-  get isConnected(): boolean {
-    return this.#isConnected && !this.#isClosed;
+  /** Whether it is open, and was so at a time in milliseconds of the daemon's clock. */
+  isOpenSince(at: number): boolean {
+    return this.#isConnected && !this.#isClosed && this.#connectedAt <= at;
   }
 
   /** Whether the connection was refused when it was opened. */
@@ -180,6 +183,7 @@
   #handleConnect(): void {
     clearTimeout(this.#connectTimer);
     this.#isConnected = true;
+    this.#connectedAt = this.#dependencies.now();
     if (this.#exchange) this.#write(this.#exchange.request);
     else this.#dependencies.onIdle(this);
   }
--- a/packages/gateway/src/upstreams/upstream-pool.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.ts
@@ -75,9 +75,9 @@
     else this.#checks.set(this.#create(), onEnd);
   }
 
-  /** Whether a connection to the upstream is open, idle or busy. */
-  get hasOpenConnection(): boolean {
-    return [...this.#openConnections].some(({ isConnected }) => isConnected);
+  /** Whether a connection is open, idle or busy, that was so at a time of the daemon's clock. */
+  hasBeenOpenSince(at: number): boolean {
+    return [...this.#openConnections].some((connection) => connection.isOpenSince(at));
   }
 
   /** Closes all idle connections: after one has failed, the others may be broken too. */
