--- a/packages/stand-ins/src/platform/crash-scene.ts
+++ b/packages/stand-ins/src/platform/crash-scene.ts
@@ -24,6 +24,8 @@
   readonly dataCentres: Readonly<Record<string, readonly string[]>>;
   readonly upstreams: number;
   readonly workMs: number;
+  /** Arguments for Node itself, by the port of the store. */
+  readonly buildNodeArguments?: (storePort: number) => readonly string[];
 };
 
 /** The end of an upstream while it ran a request that crashes it, in `performance.now()` time. */
@@ -87,7 +89,7 @@
 
   /** Starts everything; resolves once all daemons serve. */
   async start(): Promise<void> {
-    const { upstreams, dataCentres, program } = this.#settings;
+    const { upstreams, dataCentres, program, buildNodeArguments = () => [] } = this.#settings;
     const storePort = await this.#store.listen(LOOPBACK);
     await Promise.all(Array.from({ length: upstreams }, async () => this.#addUpstream()));
     const routes = (['safe', 'unsafe'] as const).map((kind) => ({
@@ -109,6 +111,7 @@
             seeds: Object.values(dataCentres).map(([first = '']) => first),
             storePort,
             stopGraceSeconds: STOP_GRACE_SECONDS,
+            nodeArguments: buildNodeArguments(storePort),
             onLog: (text) => {
               this.logs += text;
             },
@@ -161,6 +164,19 @@
       .filter(({ url }) => url.includes(text));
   }
 
+  sendSignal(daemon: number, signal: NodeJS.Signals): void {
+    this.#daemons[daemon]?.sendSignal(signal);
+  }
+
+  /** Asks a daemon's directory; returns the daemons that it names to callers of a data centre. */
+  async fetchNamed(daemon: number, dataCentre: string): Promise<readonly number[]> {
+    const address = this.addresses[daemon] ?? '';
+    const query = new URLSearchParams({ name: HOST, zone: dataCentre });
+    const url = `http://${address}:${GATEWAY_PORTS.directory}/resolve?${query}`;
+    const answer = (await (await fetch(url)).json()) as { readonly addresses: readonly string[] };
+    return answer.addresses.map((named) => this.addresses.indexOf(named.split(':')[0] ?? ''));
+  }
+
   /** Kills a daemon and starts it again; resolves once it serves. */
   async replaceDaemon(daemon: number): Promise<void> {
     const process = this.#daemons[daemon];
