Send callers away from daemons that have lost their links to upstreams

Callers of a data centre whose dispatcher was cut off from all upstreams were refused for all of the cut: the role is given by capacity and uptime, and what a daemon reaches was no part of it. Class of fault: a role that does not depend on what it is for.

Daemons of the same data centre check their own links when they hear of it, before callers come. If no daemon reaches the upstreams, it is these that are gone, and nothing changes.

What arrives at a cut-off daemon meanwhile is still refused; it has no way to have it carried out elsewhere.

Log events 'upstream-links-lost' and 'upstream-links-back', gauge baobabline_upstream_links_lost.

--- a/packages/core/src/dispatchers/capacity.ts
+++ b/packages/core/src/dispatchers/capacity.ts
@@ -14,6 +14,8 @@
 const CPU_MS_PER_REQUEST = 4;
 /** Average bytes per request, with its answer, in each direction of the link; includes uploads. */
 const LINK_BYTES_PER_REQUEST = 10_000;
+/** Advertised by a daemon that reaches hardly any upstream; below the capacity of any VM. */
+export const CUT_OFF_CAPACITY = 0.5;
 const MS_PER_SECOND = 1000;
 const BYTES_PER_MEGABIT = 125_000;
 
--- a/packages/core/src/dispatchers/fleet-roles.test.ts
+++ b/packages/core/src/dispatchers/fleet-roles.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 
 import type { Member } from '../membership/index.js';
+import { CUT_OFF_CAPACITY } from './capacity.js';
 import { FleetRoles } from './fleet-roles.js';
 
 function buildMember(id: string, dataCentre: string, changes: Partial<Member> = {}): Member {
@@ -115,4 +116,30 @@
     now += 5000;
     expect(roles.listDispatchers('a').length).to.equal(1);
   });
+
+  describe('with daemons that have lost their links to the upstreams', () => {
+    function setCutOff(isCutOff: (member: Member) => boolean): void {
+      candidates = members.map((member) =>
+        isCutOff(member) ? { ...member, capacity: CUT_OFF_CAPACITY } : member,
+      );
+    }
+
+    it('replaces them by others of the data centre', () => {
+      setCutOff(({ id }) => ['a-00', 'a-01'].includes(id));
+      const dispatchers = createRoles('a-05').listDispatchers('a');
+      expect(dispatchers.map(({ id }) => id)).to.deep.equal(['a-02']);
+    });
+
+    it('leaves a data centre without a dispatcher where all of it has lost them', () => {
+      setCutOff(({ dataCentre }) => dataCentre === 'a');
+      const roles = createRoles('a-05');
+      expect(roles.listDispatchers('a')).to.deep.equal([]);
+      expect(roles.listAllDispatchers().map(({ id }) => id)).to.deep.equal(['b-00', 'c-00']);
+    });
+
+    it('keeps them where no daemon reaches the upstreams', () => {
+      setCutOff(() => true);
+      expect(createRoles('a-05').listAllDispatchers()).to.have.length(3);
+    });
+  });
 });
--- a/packages/core/src/dispatchers/fleet-roles.ts
+++ b/packages/core/src/dispatchers/fleet-roles.ts
@@ -8,12 +8,15 @@
  *   roles are computed once per revision of the membership.
  * - The VMs of highest capacity fail at peak load, and their advertised load is lost with them. The
  *   demand is held for some seconds, so that enough VMs of lower capacity take over at once.
+ * - Daemons lose their links to the upstreams, one or all of a data centre. They are no dispatchers
+ *   as long as any other daemon still reaches them.
  * - All VMs lose power together. No daemon knows the demand, all callers reconnect at once and
  *   every process is cold. After its start a daemon therefore uses several dispatchers until it
  *   can know how many are needed.
  */
 import type { Member } from '../membership/index.js';
 import type { Clock } from '../runtime/index.js';
+import { CUT_OFF_CAPACITY } from './capacity.js';
 import { chooseDispatchers, rankDispatchers } from './choose-dispatchers.js';
 
 /** Daemons of each data centre that exchange members with other data centres. */
@@ -148,8 +151,15 @@
     this.#revision = revision;
     const candidates = this.#ports.listCandidates();
     const dataCentreNames = [...new Set(candidates.map(({ dataCentre }) => dataCentre))];
+    const able = candidates.filter(
+      (member) => isServing(member) && member.capacity > CUT_OFF_CAPACITY,
+    );
+    // If no daemon reaches the upstreams, it is these that are gone, and any daemon is as good.
+    const eligible = new Set(able.length > 0 ? able : candidates.filter(isServing));
     this.#dataCentres = new Map(
-      dataCentreNames.map((name) => [name, this.#buildDataCentreRoles(candidates, name)] as const),
+      dataCentreNames.map(
+        (name) => [name, this.#buildDataCentreRoles(candidates, eligible, name)] as const,
+      ),
     );
     const dataCentres = [...this.#dataCentres.values()];
     const expiryTimes = dataCentres.map(({ demand }) => demand.expiresAt);
@@ -168,9 +178,13 @@
     this.#otherDispatchers = this.#dispatchers.filter(({ id }) => id !== this.#self.id);
   }
 
-  #buildDataCentreRoles(candidates: readonly Member[], name: string): DataCentreRoles {
+  #buildDataCentreRoles(
+    candidates: readonly Member[],
+    eligible: ReadonlySet<Member>,
+    name: string,
+  ): DataCentreRoles {
     const ranked = rankDispatchers(candidates, name);
-    const serving = ranked.filter(isServing);
+    const serving = ranked.filter((member) => eligible.has(member));
     const demand = this.#computeDemand(serving, this.#dataCentres.get(name)?.demand);
     const minCount = this.#isStarting
       ? Math.max(MIN_DISPATCHERS_AT_START, this.#minDispatchers)
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -72,6 +72,13 @@
     return true;
   }
 
+  /** Sets this daemon's own capacity. If it changed, queues the update and returns true. */
+  setOwnCapacity(capacity: number): boolean {
+    if (capacity === this.self.capacity) return false;
+    this.#accept({ ...this.self, capacity, version: this.self.version + 1 });
+    return true;
+  }
+
   listPresent(): readonly Member[] {
     return this.members.list().filter(isPresent);
   }
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -6,6 +6,7 @@
   chooseDispatchersForCaller,
   computeCapacity,
   computeExpectedFleetSize,
+  CUT_OFF_CAPACITY,
   DEFAULT_MEMBERSHIP_SETTINGS,
   FleetRoles,
   hashText,
@@ -133,6 +134,27 @@
       );
   }
 
+  /** Announces at once what this daemon can handle now; `undefined` stands for all that its VM can. */
+  announceCapacity(capacity = computeCapacity(this.#dependencies.settings.machine)): void {
+    if (!this.membership.setOwnCapacity(capacity)) return;
+    this.gossip
+      .announce(MAX_STATE_RECIPIENTS)
+      .catch((error: Error) =>
+        this.#dependencies.log.warn('announcement-failed', { reason: error.message }),
+      );
+  }
+
+  /** Whether another daemon of this data centre has lost its links to the upstreams. */
+  get hasCutOffNeighbour(): boolean {
+    const { id: ownId, dataCentre } = this.membership.self;
+    return this.membership
+      .listServing()
+      .some(
+        (one) =>
+          one.dataCentre === dataCentre && one.id !== ownId && one.capacity <= CUT_OFF_CAPACITY,
+      );
+  }
+
   /** The dispatchers for a caller: those of its data centre or, if there are none, of all others. */
   listDispatchersForCaller(dataCentre: string, caller: string): readonly Member[] {
     const near = this.roles.listDispatchers(dataCentre);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import {
   AdvertisedLoad,
   computeStopBounds,
+  CUT_OFF_CAPACITY,
   DEFAULT_REPLICA_SETTINGS,
   PlannedStop,
   Replica,
@@ -41,6 +42,7 @@
 import type { RequestEnd, RoutedRequest, ServedRequest } from './requests/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
+import { UpstreamLinkMonitor } from './upstream-links/index.js';
 
 const SYSTEM_TICK_INTERVAL_MS = 200;
 const POLL_INTERVAL_MS = 50;
@@ -110,6 +112,8 @@
 
   readonly #quarantine: FleetQuarantine;
 
+  readonly #linkMonitor: UpstreamLinkMonitor;
+
   readonly #fleetSocket: FleetSocket;
 
   /** Client for requests to other daemons. */
@@ -171,6 +175,7 @@
       getVisiblePart: () => this.#rateLimits.getVisiblePart(),
       onVerdict: (verdict) => this.#metrics.recordLostUpstream(verdict),
     });
+    this.#linkMonitor = this.#createLinkMonitor();
     this.#callerServer = this.#createCallerServer();
     this.#metrics = this.#createMetrics();
     this.#recorder = new RequestRecorder({
@@ -310,6 +315,7 @@
     this.#reports.stop();
     this.#rateLimits.stop();
     this.#quarantine.stop();
+    this.#linkMonitor.stop();
     this.#fleetSocket.close();
     await Promise.all(this.#servers.map(closeServer));
     this.#fleet.close();
@@ -336,6 +342,7 @@
     this.#services.runTick();
     this.#rateLimits.runTick();
     this.#quarantine.runTick();
+    this.#linkMonitor.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
   }
 
@@ -360,6 +367,7 @@
         getStoreEra: () => this.#replica.era ?? 0,
         isStoreUnavailable: () => this.#recordExchange.isStoreAway,
         isDispatcher: () => this.#fleet.isDispatcher,
+        isCutOff: () => this.#linkMonitor.isCutOff,
         listTraffic: () => this.#traffic.list(),
       },
       (error) => this.#log.warn('metrics-fault', { reason: error.message }),
@@ -383,12 +391,29 @@
       onRateLimitChange: (upstream, change, source) =>
         this.#rateLimits.recordChange(upstream, change, source),
       getCrashGuard: () => this.#quarantine,
+      onUpstreamFailure: (upstreamId) => this.#linkMonitor.recordFailure(upstreamId),
       onLoadChange: () => this.#reports.recordLoad(),
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
     });
   }
 
+  #createLinkMonitor(): UpstreamLinkMonitor {
+    return new UpstreamLinkMonitor({
+      clock: this.#clock,
+      random: this.#random,
+      listUpstreams: () => this.#services.listUpstreams(),
+      hasCutOffNeighbour: () => this.#fleet.hasCutOffNeighbour,
+      onChange: (isCutOff, reached, checked) => {
+        this.#log.warn(isCutOff ? 'upstream-links-lost' : 'upstream-links-back', {
+          reached,
+          checked,
+        });
+        this.#fleet.announceCapacity(isCutOff ? CUT_OFF_CAPACITY : undefined);
+      },
+    });
+  }
+
   #createFleetSocket(): FleetSocket {
     const socket = new FleetSocket({
       port: this.#settings.reports.port,
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -37,6 +37,8 @@
   readonly getStoreEra: () => number;
   readonly isStoreUnavailable: () => boolean;
   readonly isDispatcher: () => boolean;
+  /** Whether this daemon reaches hardly any upstream. */
+  readonly isCutOff: () => boolean;
   readonly listTraffic: () => readonly TrafficRow[];
 };
 
@@ -144,6 +146,11 @@
     this.#registerGauge('baobabline_dispatcher', '1 while callers are sent to this daemon', () =>
       Number(source.isDispatcher()),
     );
+    this.#registerGauge(
+      'baobabline_upstream_links_lost',
+      '1 while this daemon reaches hardly any upstream',
+      () => Number(source.isCutOff()),
+    );
     this.#registerProcess();
     EXCEPTION_ORIGINS.forEach((origin) => this.exceptions.inc({ origin }, 0));
   }
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -88,6 +88,7 @@
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
       onLinkChange: () => undefined,
+      onFailure: () => undefined,
       getRateLimitShare: () => 1,
       onRateLimitChange: () => undefined,
     });
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -48,6 +48,8 @@
   readonly onAnswer: (judged: JudgedAnswer) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
+  /** Called when a connection to an upstream could not be opened or used, or brought no answer. */
+  readonly onFailure: (upstreamId: string) => void;
   /** Part of an upstream's rate limit that this dispatcher may use now, from 0 to 1. */
   readonly getRateLimitShare: (upstreamId: string) => number;
   /** Called when an upstream states another rate limit than before, or none any more. */
@@ -316,6 +318,7 @@
     const change = trust.record({ upstreamId, isGood: false, at: clock.now(), isSilent });
     if (change) onTrustChange(upstreamId, change);
     this.#upstreams.get(upstreamId)?.pool.closeIdle();
+    this.#dependencies.onFailure(upstreamId);
   }
 
   /** Records whether a connection to an upstream could be opened or used. */
@@ -323,7 +326,10 @@
     const { links, clock, onLinkChange } = this.#dependencies;
     const change = links.record({ upstreamId, isGood, at: clock.now() });
     if (change) onLinkChange(upstreamId, change);
-    if (!isGood) this.#upstreams.get(upstreamId)?.pool.closeIdle();
+    if (!isGood) {
+      this.#upstreams.get(upstreamId)?.pool.closeIdle();
+      this.#dependencies.onFailure(upstreamId);
+    }
     if (change === 'trusted') this.serveQueue();
   }
 
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -64,6 +64,8 @@
     change: RateLimitChange,
     source: 'answer' | 'report',
   ) => void;
+  /** Called when a connection to an upstream could not be opened or used, or brought no answer. */
+  readonly onUpstreamFailure: (upstreamId: string) => void;
   /** What keeps requests from upstreams that they would end. */
   readonly getCrashGuard: () => CrashGuard;
   readonly onLoadChange: () => void;
@@ -250,6 +252,7 @@
       },
       createUpstream: (record) => this.#createUpstream(record),
       onAnswer: (judged) => this.#handleAnswer(judged),
+      onFailure: this.#ports.onUpstreamFailure,
       onTrustChange: this.#ports.onTrustChange,
       onLinkChange: this.#ports.onLinkChange,
       getRateLimitShare: this.#ports.getRateLimitShare,
