Refuse at once what a cut-off daemon cannot pass on

Callers of a daemon without links to upstreams got their 503 after 0.5 to 1.0 s: with every link believed broken, the daemon tried them all the same, or let requests wait for a slot. Class of fault: a rule for want of evidence (a broken link may be back) applied where there is evidence. While the links are known to be lost, links believed broken are not tried by requests, and a request for which none is left is refused at once, as not run, with a Retry-After. Links that still work are used.

The new test failed before (one attempt sent, and open after it); the one beside it passed before and holds what must stay.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -391,6 +391,7 @@
       onRateLimitChange: (upstream, change, source) =>
         this.#rateLimits.recordChange(upstream, change, source),
       getCrashGuard: () => this.#quarantine,
+      isCutOff: () => this.#linkMonitor.isCutOff,
       onUpstreamFailure: (upstreamId) => this.#linkMonitor.recordFailure(upstreamId),
       onLoadChange: () => this.#reports.recordLoad(),
       onBytes: (purpose, dataCentre, bytes) =>
--- a/packages/gateway/src/rate-limits/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -304,6 +304,7 @@
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
       onLinkChange: () => undefined,
+      isCutOff: () => false,
       onFailure: () => undefined,
       getRateLimitShare: (upstream) => shares.getShare(upstream),
       onRateLimitChange: () => reports.recordChange(),
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -38,6 +38,7 @@
   let now = 0;
   let count = 0;
   let guard: CrashGuard;
+  let isCutOff: boolean;
   const clock = { now: () => now };
 
   /** Lets simulated time pass, in small steps, with all that happens in it. */
@@ -88,6 +89,7 @@
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
       onLinkChange: () => undefined,
+      isCutOff: () => isCutOff,
       onFailure: () => undefined,
       getRateLimitShare: () => 1,
       onRateLimitChange: () => undefined,
@@ -104,6 +106,7 @@
     ends = [];
     reactions = {};
     guard = NO_CRASH_GUARD;
+    isCutOff = false;
     desk = createDesk(100);
     desk.applyRecords([
       buildUpstreamRecord('u1'),
@@ -331,6 +334,31 @@
     expect(desk.describe().upstreams.trusted).to.equal(1);
   });
 
+  it('is refused at once as not run at a daemon that has lost its links, and is not held', async () => {
+    setAll(UNSENT);
+    Array.from({ length: 4 }).forEach(() => start('unsafe'));
+    await wait(20);
+    sent = [];
+    ends = [];
+    isCutOff = true;
+    start('unsafe');
+    expect([sent, describeEnd()]).to.deep.equal([[], '503 not-run']);
+    const [end] = ends;
+    expect(end?.kind === 'refused' && end.error.result.name).to.equal('no-upstream');
+  });
+
+  it('still uses the upstreams that a daemon reaches which has lost most of its links', async () => {
+    reactions = { u1: UNSENT, u2: UNSENT, u3: buildAnswerEnd(200) };
+    Array.from({ length: 4 }).forEach(() => start('unsafe'));
+    await wait(100);
+    sent = [];
+    ends = [];
+    isCutOff = true;
+    start('unsafe');
+    await wait(10);
+    expect([sent, describeEnd()]).to.deep.equal([['u3'], 'answered 200']);
+  });
+
   describe('that may crash upstreams', () => {
     const QUARANTINED: CrashGuard = {
       ...NO_CRASH_GUARD,
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -48,6 +48,8 @@
   readonly onAnswer: (judged: JudgedAnswer) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
+  /** Whether this daemon has lost its links to most upstreams. */
+  readonly isCutOff: () => boolean;
   /** Called when a connection to an upstream could not be opened or used, or brought no answer. */
   readonly onFailure: (upstreamId: string) => void;
   /** Part of an upstream's rate limit that this dispatcher may use now, from 0 to 1. */
@@ -205,7 +207,11 @@
 
   /** Whether any upstream could ever take the request. */
   hasUsable(excluded: ReadonlySet<string>): boolean {
-    return this.#listUsable(excluded).length > 0;
+    const { links, isCutOff, clock } = this.#dependencies;
+    const usable = this.#listUsable(excluded);
+    if (!isCutOff()) return usable.length > 0;
+    const now = clock.now();
+    return usable.some(({ record }) => !links.isSuspect(record.id, now));
   }
 
   /** Decides whether a request should be queued. */
@@ -468,7 +474,7 @@
     now: number,
     isNearOnly: boolean,
   ): readonly PlacementCandidate[] {
-    const { dataCentre, links } = this.#dependencies;
+    const { dataCentre, links, isCutOff } = this.#dependencies;
     const open = [...this.#upstreams.values()].filter(
       (state) =>
         (!isNearOnly || state.record.dataCentre === dataCentre) &&
@@ -478,7 +484,8 @@
         this.#hasPermit(state, now),
     );
     const reached = open.filter(({ record }) => !links.isSuspect(record.id, now));
-    const usable = reached.length > 0 || isNearOnly ? reached : open;
+    // Links that are believed broken are tried for want of others, unless they are known to be.
+    const usable = reached.length > 0 || isNearOnly || isCutOff() ? reached : open;
     return usable.map((state) => this.#buildCandidate(state, now));
   }
 
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -64,6 +64,8 @@
     change: RateLimitChange,
     source: 'answer' | 'report',
   ) => void;
+  /** Whether this daemon has lost its links to most upstreams. */
+  readonly isCutOff: () => boolean;
   /** Called when a connection to an upstream could not be opened or used, or brought no answer. */
   readonly onUpstreamFailure: (upstreamId: string) => void;
   /** What keeps requests from upstreams that they would end. */
@@ -252,6 +254,7 @@
       },
       createUpstream: (record) => this.#createUpstream(record),
       onAnswer: (judged) => this.#handleAnswer(judged),
+      isCutOff: this.#ports.isCutOff,
       onFailure: this.#ports.onUpstreamFailure,
       onTrustChange: this.#ports.onTrustChange,
       onLinkChange: this.#ports.onLinkChange,
