--- a/packages/gateway/src/upstream-links/upstream-link-monitor.ts
+++ b/packages/gateway/src/upstream-links/upstream-link-monitor.ts
@@ -26,11 +26,13 @@
 const MIN_FAILED_UPSTREAMS = 3;
 const FAILURE_MEMORY_MS = 1000;
 const CHECKED_UPSTREAMS = 8;
+/** Fewer while the links are lost, since checks go on for as long as that lasts. */
+const RECHECKED_UPSTREAMS = 4;
 /** Longer than the pools wait for a connection. */
 const CHECK_TIMEOUT_MS = 400;
 const CONFIRM_DELAY_MS = 100;
-/** Interval of checks while the links are lost, and the shortest between others. */
-const CHECK_INTERVAL_MS = 500;
+const MIN_CHECK_INTERVAL_MS = 500;
+const RECHECK_INTERVAL_MS = 1000;
 /** Below this part of the checked upstreams the links count as lost. */
 const LOST_SHARE = 0.5;
 /** From this part on they count as back; more than above, so that the verdict does not flap. */
@@ -86,7 +88,8 @@
 
   #checkIfDue(): void {
     const now = this.#dependencies.clock.now();
-    if (this.#strikes === 0 && now - this.#checkedAt < CHECK_INTERVAL_MS) return;
+    const intervalMs = this.#isCutOff ? RECHECK_INTERVAL_MS : MIN_CHECK_INTERVAL_MS;
+    if (this.#strikes === 0 && now - this.#checkedAt < intervalMs) return;
     this.#check();
   }
 
@@ -141,7 +144,7 @@
       .filter(({ isLeaving }) => !isLeaving)
       .map((state) => ({ state, order: random.next() }))
       .sort((left, right) => left.order - right.order)
-      .slice(0, CHECKED_UPSTREAMS)
+      .slice(0, this.#isCutOff ? RECHECKED_UPSTREAMS : CHECKED_UPSTREAMS)
       .map(({ state }) => state);
   }
 }
