--- a/packages/gateway/src/untrusted-messages.test.ts
+++ b/packages/gateway/src/untrusted-messages.test.ts
@@ -1,4 +1,5 @@
 import {
+  CrashQuarantine,
   DEFAULT_MEMBERSHIP_SETTINGS,
   createRandom,
   FailureEstimator,
@@ -20,6 +21,7 @@
   parseExchange,
 } from './datagrams/index.js';
 import { changesSchema } from './peers/index.js';
+import { formatQuarantineReport, parseQuarantineReport } from './crash-quarantine/index.js';
 import { parseRateLimits } from './rate-limits/rate-limit-message.js';
 import {
   formatRecords,
@@ -226,6 +228,32 @@
     });
   });
 
+  it('quarantines no request for ever, and passes on what others can read', () => {
+    const crash = buildRow(fc.nat(9), time, fc.nat(100));
+    const suspect = buildRow(
+      fc.constantFrom('a', 'b'),
+      fc.option(time),
+      fc.option(time),
+      buildList(crash),
+    );
+    check(buildRow(fc.boolean(), buildList(suspect)), (body) => {
+      let now = 1e7;
+      const quarantine = new CrashQuarantine({
+        clock: { now: () => now },
+        mayTry: () => true,
+        onChange: () => undefined,
+      });
+      const report = parseQuarantineReport(formatBody(body), now);
+      report?.suspects.forEach((row) => quarantine.applyReport(row));
+      const suspects = quarantine.listReportable();
+      const sent = formatQuarantineReport({ isQuery: false, suspects }, now);
+      expect(parseQuarantineReport(sent, now)?.suspects).to.have.length(suspects.length);
+      now += 2 * 3_600_000 + 1;
+      quarantine.runTick();
+      expect(['a', 'b'].map((one) => quarantine.judge(one).kind)).not.to.include('refused');
+    });
+  });
+
   it('sets no rate limit under which nothing is ever sent', () => {
     const limit = fc.oneof(fc.integer({ min: 0, max: 100 }), fc.constant(null));
     check(buildList(buildRow(fc.nat(3), limit, time)), (body) => {
@@ -242,6 +270,7 @@
     check(fc.uint8Array({ maxLength: 300 }), (bytes) => {
       const body = Buffer.from(bytes);
       [parsePoll, parseRecordUpdate, parseReport, parseRateLimits].forEach((parse) => parse(body));
+      parseQuarantineReport(body, 0);
       parseBody(body, exchangeRowsSchema);
       expect(parsePoll(formatBody(['vm-1', [], true, false]))?.id).to.equal('vm-1');
     });
