review: case 2, machines run requests by an old configuration

If the first two machines of a zone lose power at the same moment, machines that live on and reach the store take up a configuration later than configApplyS. Each follows only the first ranked machine, needs 1.2 to 1.6 s to find that lost, and then follows the second, which is dark too. Freshness.shouldRead lets machines from rank 6 on read the store themselves only after 2.2 to 3.1 s.

--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -293,8 +293,9 @@
 export class Machine {
   starts = 0;
 
-  constructor({ name, address, seeds, storePort, storeAddress, folder, recorder, onExit }) {
+  constructor({ name, address, seeds, storePort, storeAddress, folder, recorder, onExit, limits }) {
     Object.assign(this, { name, address, storePort, storeAddress, recorder, onExit });
+    this.limits = { cpuShare: 0.54, memoryMb: 350, linkMbps: 1000, ...limits };
     this.file = join(folder, `${name}.toml`);
     this.seeds = seeds;
     this.isOver = false;
@@ -329,11 +330,11 @@
         `control = "${this.address}:${control}"`,
         `directory = "${this.address}:${directory}"`,
         '[limits]',
-        'cpuShare = 0.54',
+        `cpuShare = ${this.limits.cpuShare}`,
         'cores = 1',
-        'memoryMb = 350',
+        `memoryMb = ${this.limits.memoryMb}`,
         'maxFds = 4100',
-        'linkMbps = 1000.0',
+        `linkMbps = ${this.limits.linkMbps.toFixed(1)}`,
         '[platform]',
         `address = "${this.storeAddress}:${this.storePort}"`,
         'form = "read"',
@@ -403,7 +404,57 @@
   }
 }
 
-/** A client with a channel that it keeps for many requests. */
+/** Sends one attempt; resolves with what the client saw. Status 0: no complete answer. */
+async function sendAttempt({ id, address, name, host, agent, localAddress, recorder, attempt }) {
+  const { method, path, body, timeLimitMs } = attempt;
+  const sentAt = getNow();
+  recorder.add(`client sends ${id} (${method} ${path}) to ${name}`);
+  const outcome = await new Promise((resolve) => {
+    const call = sendHttp({
+      host: address,
+      port: PORTS.front,
+      localAddress,
+      method,
+      path,
+      agent,
+      headers: {
+        Host: host,
+        'X-Request-Id': id,
+        'X-Deadline-Ms': String(timeLimitMs),
+        ...(body ? { 'Content-Length': body.length } : {}),
+      },
+    });
+    const timer = setTimeout(() => {
+      resolve({ status: 0, why: 'time limit' });
+      call.destroy();
+    }, timeLimitMs);
+    call.on('error', (error) => {
+      clearTimeout(timer);
+      resolve({ status: 0, why: error.code ?? error.message });
+    });
+    call.on('response', (response) => {
+      const chunks = [];
+      response.on('data', (chunk) => chunks.push(chunk));
+      response.on('error', () => resolve({ status: 0, why: 'answer cut' }));
+      response.on('end', () => {
+        clearTimeout(timer);
+        resolve({
+          status: response.statusCode,
+          headers: response.headers,
+          text: Buffer.concat(chunks).toString(),
+        });
+      });
+    });
+    call.end(body);
+  });
+  const leaving = outcome.headers?.['server-leaving'] ? ', Server-Leaving' : '';
+  const from = outcome.headers?.['x-instance-id'] ?? 'none';
+  const why = outcome.why ? ` (${outcome.why})` : '';
+  recorder.add(`client gets ${outcome.status}${why} for ${id}, instance ${from}${leaving}`);
+  return { id, address, sentAt, endAt: getNow(), ...outcome };
+}
+
+/** A client with a channel to one machine that it keeps for many requests. */
 export class Client {
   #agent = new Agent({ keepAlive: true, maxSockets: 1 });
   #count = 0;
@@ -416,54 +467,102 @@
     this.#agent.destroy();
   }
 
-  /** Sends one attempt; resolves with what the client saw. Status 0: no complete answer. */
-  async send({ method, path, body, timeLimitMs }) {
+  async send(attempt) {
     this.#count += 1;
+    const { address, name } = this.machine;
     const id = `${this.name}-${this.#count}`;
-    const sentAt = getNow();
-    this.recorder.add(`client sends ${id} (${method} ${path}) to ${this.machine.name}`);
-    const outcome = await new Promise((resolve) => {
-      const call = sendHttp({
-        host: this.machine.address,
-        port: PORTS.front,
-        method,
-        path,
-        agent: this.#agent,
-        headers: {
-          Host: this.host,
-          'X-Request-Id': id,
-          'X-Deadline-Ms': String(timeLimitMs),
-          ...(body ? { 'Content-Length': body.length } : {}),
-        },
-      });
-      const timer = setTimeout(() => {
-        resolve({ status: 0, why: 'time limit' });
-        call.destroy();
-      }, timeLimitMs);
-      call.on('error', (error) => {
-        clearTimeout(timer);
-        resolve({ status: 0, why: error.code ?? error.message });
-      });
+    const { host, recorder } = this;
+    return sendAttempt({ id, address, name, host, agent: this.#agent, recorder, attempt });
+  }
+}
+
+/**
+ * A client that asks a directory for addresses, holds the answer as long as it says, and keeps its
+ * channel to one of them until a new answer lacks it. A failed address is left out until then.
+ */
+export class DirectoryClient {
+  #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  #count = 0;
+  #addresses = [];
+  #heldUntil = 0;
+  #failed = new Set();
+  #current;
+
+  constructor({ name, directories, host, localAddress, recorder }) {
+    Object.assign(this, { name, directories, host, localAddress, recorder });
+  }
+
+  close() {
+    this.#agent.destroy();
+  }
+
+  /** Resolves with what the client saw; undefined if it found no address. */
+  async send(attempt) {
+    if (getNow() >= this.#heldUntil) await this.#resolve();
+    const usable = this.#addresses.filter((address) => !this.#failed.has(address));
+    if (this.#current === undefined || !usable.includes(this.#current)) {
+      this.#agent.destroy();
+      this.#agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      this.#current = usable[Math.floor(Math.random() * usable.length)];
+    }
+    if (this.#current === undefined) {
+      this.#heldUntil = 0;
+      return undefined;
+    }
+    this.#count += 1;
+    const { host, localAddress, recorder } = this;
+    const address = this.#current;
+    const id = `${this.name}-${this.#count}`;
+    const agent = this.#agent;
+    const reply = await sendAttempt({
+      id,
+      address,
+      name: address,
+      host,
+      agent,
+      localAddress,
+      recorder,
+      attempt,
+    });
+    if (reply.status === 0) this.#failed.add(address);
+    return reply;
+  }
+
+  async #resolve() {
+    const shuffled = [...this.directories].sort(() => Math.random() - 0.5);
+    for (const directory of shuffled.slice(0, 3)) {
+      const answer = await this.#ask(directory);
+      if (answer?.addresses?.length > 0) {
+        this.#addresses = answer.addresses.map((text) => text.split(':')[0]);
+        this.#heldUntil = getNow() + Math.min(answer.ttlS, 5);
+        this.#failed = new Set();
+        return;
+      }
+    }
+  }
+
+  #ask(directory) {
+    return new Promise((resolve) => {
+      const path = `/resolve?name=${this.host}&region=z&zone=z-a`;
+      const { localAddress } = this;
+      const call = sendHttp({ host: directory, port: PORTS.directory, path, localAddress });
+      const timer = setTimeout(() => call.destroy(new Error('slow')), 1000);
+      call.on('close', () => clearTimeout(timer));
+      call.on('error', () => resolve(undefined));
       call.on('response', (response) => {
         const chunks = [];
         response.on('data', (chunk) => chunks.push(chunk));
-        response.on('error', () => resolve({ status: 0, why: 'answer cut' }));
+        response.on('error', () => resolve(undefined));
         response.on('end', () => {
-          clearTimeout(timer);
-          resolve({
-            status: response.statusCode,
-            headers: response.headers,
-            text: Buffer.concat(chunks).toString(),
-          });
+          try {
+            resolve(JSON.parse(Buffer.concat(chunks).toString()));
+          } catch {
+            resolve(undefined);
+          }
         });
       });
-      call.end(body);
+      call.end();
     });
-    const leaving = outcome.headers?.['server-leaving'] ? ', Server-Leaving' : '';
-    const from = outcome.headers?.['x-instance-id'] ?? 'none';
-    const why = outcome.why ? ` (${outcome.why})` : '';
-    this.recorder.add(`client gets ${outcome.status}${why} for ${id}, instance ${from}${leaving}`);
-    return { id, sentAt, endAt: getNow(), ...outcome };
   }
 }
 
