--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -174,8 +174,8 @@
   #extraHeaders = {};
   runs = [];
 
-  constructor({ id, service, workMs, slots, recorder }) {
-    Object.assign(this, { id, service, workMs, slots, recorder });
+  constructor({ id, service, workMs, slots, recorder, crashesOn, onCrash }) {
+    Object.assign(this, { id, service, workMs, slots, recorder, crashesOn, onCrash });
     this.born = Date.now();
     this.isGone = false;
     this.#server.keepAliveTimeout = 10_000;
@@ -272,6 +272,13 @@
       this.#runNext();
     };
     const timer = setTimeout(() => {
+      if (this.crashesOn?.(run.url)) {
+        run.didCrash = true;
+        this.recorder.add(`instance ${this.id} crashes while it runs ${run.id}`);
+        this.exit();
+        this.onCrash?.();
+        return;
+      }
       response.setHeader('X-Response-Signature', `s.${run.id}`);
       response.setHeader('X-Instance-Load', `${this.#running},${this.#queue.length},${this.slots}`);
       this.#answer(response, 200, `${this.id} ran ${run.id}`);
