Send no new work to an upstream that says in an answer that it leaves

The daemon was cut off from the store, so that the upstream's record could not reach it.

Cause: nothing read the statement. A daemon took an upstream for leaving by its record, or by an answer that says that the request did not run.

Fix: the head of each answer is read for the statement. It counts like a record that says draining, for this start of the upstream, whatever becomes of its record. On a related path, requests that were placed on a connection still being opened are now withdrawn when their upstream leaves by its record, its removal or its answer.

No message between daemons changes.

--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -31,6 +31,8 @@
   readonly keepAliveMs: number | undefined;
   /** Rate limit that the upstream sets to the whole fleet, in requests per second. */
   readonly rateLimit: RateLimitStatement;
+  /** Whether the upstream states that it is about to end, which holds until it has ended. */
+  readonly isLeaving: boolean;
 };
 
 /** What the gateway states in the headers of a request to an upstream. */
--- a/packages/gateway/src/edge/caller-close.test.ts
+++ b/packages/gateway/src/edge/caller-close.test.ts
@@ -56,6 +56,7 @@
     load: undefined,
     keepAliveMs: undefined,
     rateLimit: undefined,
+    isLeaving: false,
   }),
   buildUpstreamHeaders: () => [],
 };
--- a/packages/gateway/src/edge/caller-server.test.ts
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -44,6 +44,7 @@
     load: undefined,
     keepAliveMs: undefined,
     rateLimit: undefined,
+    isLeaving: false,
   }),
   buildUpstreamHeaders: () => [],
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -393,6 +393,7 @@
       getCrashGuard: () => this.#quarantine,
       isCutOff: () => this.#linkMonitor.isCutOff,
       onUpstreamFailure: (upstreamId) => this.#linkMonitor.recordFailure(upstreamId),
+      onLeaving: (upstream) => this.#log.info('upstream-leaving', { upstream }),
       onLoadChange: () => this.#reports.recordLoad(),
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -1,4 +1,5 @@
 export { AttemptTimes } from './attempt-times.js';
+export { LeavingStarts } from './leaving-starts.js';
 export { PeerLoads } from './peer-loads.js';
 export type { CrashGuard, LostRequest } from './crash-guard.js';
 export { computeRequestFingerprint } from './request-fingerprint.js';
--- a/packages/gateway/src/requests/request-fixtures.ts
+++ b/packages/gateway/src/requests/request-fixtures.ts
@@ -17,6 +17,7 @@
   load: undefined,
   keepAliveMs: undefined,
   rateLimit: undefined,
+  isLeaving: false,
 };
 
 /** A dialect without headers. */
@@ -39,7 +40,7 @@
 export function buildAnswerEnd(status: number, head: Partial<AnswerHead> = {}): ExchangeEnd {
   return {
     kind: 'answered',
-    isLeaving: false,
+    isClosing: false,
     answer: {
       status,
       statusText: '',
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -32,6 +32,7 @@
   let sent: string[] = [];
   let aborted: string[] = [];
   let probed: string[] = [];
+  let drained: string[] = [];
   let reactions: Record<string, Reaction>;
   let desk: ServiceScheduler;
   let ends: RequestEnd[] = [];
@@ -67,6 +68,9 @@
       },
       close: () => undefined,
       closeIdle: () => undefined,
+      drain: () => {
+        drained = [...drained, id];
+      },
       probe: (onEnd: ProbeHandler) => {
         probed = [...probed, id];
         onEnd(reactions[id] !== UNSENT);
@@ -103,6 +107,7 @@
     sent = [];
     aborted = [];
     probed = [];
+    drained = [];
     ends = [];
     reactions = {};
     guard = NO_CRASH_GUARD;
@@ -359,6 +364,99 @@
     expect([sent, describeEnd()]).to.deep.equal([['u3'], 'answered 200']);
   });
 
+  describe('at a service of which an upstream states that it leaves', () => {
+    const UNWRITTEN: ExchangeEnd = { kind: 'unsent', reason: 'the upstream leaves' };
+
+    function recordLeaving(...ids: readonly string[]): void {
+      ids.forEach((id) => desk.find(id)?.recordLeaving());
+    }
+
+    it('is not placed, retried, hedged or queued for there, and its record does not lift this', async () => {
+      recordLeaving('u1');
+      setAll('hang');
+      ['safe', 'unsafe'].forEach((kind) => start(kind as Route['kind'], { timeoutMs: 5000 }));
+      start('safe', { timeoutMs: 5000 });
+      await wait(20);
+      expect(new Set(sent)).to.deep.equal(new Set(['u2', 'u3']));
+      expect(desk.waitingCount).to.equal(1);
+      desk.applyRecords(['u1', 'u2', 'u3'].map((id) => buildUpstreamRecord(id)));
+      await wait(800);
+      setAll(SHED);
+      start('unsafe', { maxAttempts: 3 });
+      await wait(50);
+      expect(sent.filter((id) => id === 'u1')).to.deep.equal([]);
+    });
+
+    it('is not sent there as a test of an upstream that has failed', async () => {
+      setAll(buildAnswerEnd(500));
+      Array.from({ length: 6 }).forEach(() => start('safe'));
+      await wait(100);
+      recordLeaving('u1');
+      sent = [];
+      const sendTests = async (rounds: number): Promise<void> => {
+        start('safe');
+        await wait(100);
+        if (rounds > 1) await sendTests(rounds - 1);
+      };
+      await sendTests(60);
+      expect(new Set(sent)).to.deep.equal(new Set(['u2', 'u3']));
+    });
+
+    it('goes elsewhere at no cost where it was not written yet, and blames no link', async () => {
+      desk = createDesk(0);
+      desk.applyRecords([buildUpstreamRecord('u1')]);
+      let onEnd: EndHandler | undefined;
+      desk.find('u1')!.pool.send = (_request, _isRepeatable, handler) => {
+        onEnd = handler;
+        return { abort: () => undefined } as ReturnType<UpstreamPool['send']>;
+      };
+      start('unsafe');
+      desk.applyRecords([buildUpstreamRecord('u1'), buildUpstreamRecord('u2')]);
+      reactions = { u2: buildAnswerEnd(200) };
+      recordLeaving('u1');
+      onEnd?.(UNWRITTEN);
+      await wait(20);
+      expect([sent, drained, describeEnd()]).to.deep.equal([['u2'], ['u1'], 'answered 200']);
+      expect(desk.describe().upstreams).to.include({ leaving: 1, unreachable: 0 });
+    });
+
+    it('runs on there, and gets the answer', async () => {
+      reactions = { u1: buildAnswerEnd(200), u2: buildAnswerEnd(200), u3: buildAnswerEnd(200) };
+      start('unsafe');
+      recordLeaving('u1', 'u2', 'u3');
+      await wait(20);
+      expect(describeEnd()).to.equal('answered 200');
+    });
+
+    it('is refused at once as not run where all of them leave', () => {
+      recordLeaving('u1', 'u2', 'u3');
+      start('safe');
+      expect([sent, describeEnd()]).to.deep.equal([[], '503 not-run']);
+      const [end] = ends;
+      expect(end?.kind === 'refused' && end.error.retryAfterSeconds).to.be.greaterThan(0);
+    });
+
+    it('counts its slots as those of a draining record', () => {
+      const describe = (): unknown =>
+        desk.describeQueueState({
+          id: 'q',
+          arrivedAt: now,
+          targetAt: now + 100,
+          latestSendAt: now + 200,
+          expectedAttemptMs: 50,
+          priority: 0,
+          isRetry: false,
+        });
+      const records = ['u1', 'u2', 'u3'].map((id) => buildUpstreamRecord(id));
+      recordLeaving('u1');
+      const stated = describe();
+      desk = createDesk(100);
+      desk.applyRecords(records.map((one, at) => (at > 0 ? one : { ...one, state: 'draining' })));
+      expect(describe()).to.deep.equal(stated);
+      expect(stated).to.include({ slots: 2 });
+    });
+  });
+
   describe('that may crash upstreams', () => {
     const QUARANTINED: CrashGuard = {
       ...NO_CRASH_GUARD,
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -310,7 +310,7 @@
   #handleEnd(attempt: Attempt, end: ExchangeEnd): void {
     this.#release(attempt);
     const elapsedMs = this.#now - attempt.startedAt;
-    if (end.kind === 'answered') this.#handleAnswer(attempt, end.answer, end.isLeaving, elapsedMs);
+    if (end.kind === 'answered') this.#handleAnswer(attempt, end.answer, end.isClosing, elapsedMs);
     else this.#handleFailure(attempt, end, elapsedMs);
     this.#scheduler.serveQueue();
   }
@@ -325,11 +325,11 @@
   #handleAnswer(
     { upstreamId, state, startedAt }: Attempt,
     answer: UpstreamAnswer,
-    isLeaving: boolean,
+    isClosing: boolean,
     elapsedMs: number,
   ): void {
     const { status, head } = answer;
-    this.#record({ step: 'answered', upstream: upstreamId, status, elapsedMs, isLeaving });
+    this.#record({ step: 'answered', upstream: upstreamId, status, elapsedMs, isClosing });
     this.#dependencies.onBytes('answers', state.record.dataCentre, answer.bodyBytes);
     this.#scheduler.recordReach(upstreamId, true);
     this.#scheduler.recordRateLimit(upstreamId, head.rateLimit, startedAt);
@@ -368,7 +368,8 @@
   ): void {
     this.#record({ step: end.kind, upstream: upstreamId, reason: end.reason, elapsedMs });
     if (end.kind === 'unsent') {
-      this.#scheduler.recordReach(upstreamId, false);
+      // An upstream that leaves may be at its end, which says nothing about the link to it.
+      if (!state.isLeaving) this.#scheduler.recordReach(upstreamId, false);
       this.#sentCount -= 1;
       this.#tryAgainOrFail(true, true);
       return;
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -143,13 +143,15 @@
   /** Adds, updates and removes upstreams so that they match the records of this service. */
   applyRecords(records: readonly RegisteredUpstream[]): void {
     const wanted = new Map(records.map((record) => [record.id, record]));
+    const dropped: UpstreamState[] = [];
     this.#upstreams.forEach((state, id) => {
       const record = wanted.get(id);
       if (record && state.isSameStart(record)) {
         state.applyRecord(record);
         return;
       }
-      this.#drop(id, state);
+      this.#upstreams.delete(id);
+      dropped.push(state);
       if (record) this.#forgetEarlierStart(id);
     });
     records
@@ -157,6 +159,9 @@
       .forEach((record) =>
         this.#upstreams.set(record.id, this.#dependencies.createUpstream(record)),
       );
+    // Requests that are withdrawn here are placed anew at once, so all records are applied before.
+    dropped.forEach(({ pool }) => pool.close());
+    this.#upstreams.forEach((state) => state.drainIfLeaving());
     this.serveQueue();
   }
 
@@ -401,11 +406,6 @@
     links.forget(id);
   }
 
-  #drop(id: string, state: UpstreamState): void {
-    state.pool.close();
-    this.#upstreams.delete(id);
-  }
-
   #listUsable(excluded: ReadonlySet<string>): readonly UpstreamState[] {
     return [...this.#upstreams.values()].filter(
       (state) => !state.isLeaving && !excluded.has(state.record.id),
--- a/packages/gateway/src/requests/upstream-state.ts
+++ b/packages/gateway/src/requests/upstream-state.ts
@@ -79,6 +79,11 @@
     this.#record = record;
   }
 
+  /** Withdraws what has not been sent to an upstream that leaves; what it runs goes on. */
+  drainIfLeaving(): void {
+    if (this.isLeaving) this.pool.drain();
+  }
+
   isPaused(now: number): boolean {
     return now < this.#pausedUntil;
   }
@@ -87,7 +92,9 @@
     this.#pausedUntil = now + SHED_PAUSE_MS;
   }
 
+  /** Records that the upstream leaves, which holds for this start of it, whatever its record says. */
   recordLeaving(): void {
     this.#isLeaving = true;
+    this.pool.drain();
   }
 }
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -24,6 +24,7 @@
 import type { DispatcherReport } from '../reports/index.js';
 import {
   AttemptTimes,
+  LeavingStarts,
   PeerLoads,
   RequestRun,
   ServiceScheduler,
@@ -70,6 +71,8 @@
   readonly onUpstreamFailure: (upstreamId: string) => void;
   /** What keeps requests from upstreams that they would end. */
   readonly getCrashGuard: () => CrashGuard;
+  /** Called once for each start of an upstream that states in an answer that it leaves. */
+  readonly onLeaving: (upstreamId: string) => void;
   readonly onLoadChange: () => void;
   /** Called with the bytes of a request or an answer, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
@@ -100,6 +103,8 @@
 
   readonly #times = new AttemptTimes();
 
+  readonly #leavingStarts = new LeavingStarts();
+
   readonly #parts = new WeightedRoundRobin();
 
   #routes: RouteTable | undefined;
@@ -272,7 +277,18 @@
       port: record.port,
       dialect,
       now: clock.now,
+      onLeaving: () => this.#handleLeaving(record),
     });
-    return new UpstreamState(record, pool, clock.now() + record.warmUpMs);
+    const state = new UpstreamState(record, pool, clock.now() + record.warmUpMs);
+    if (this.#leavingStarts.has(record)) state.recordLeaving();
+    return state;
+  }
+
+  #handleLeaving(record: RegisteredUpstream): void {
+    if (this.#leavingStarts.has(record)) return;
+    this.#leavingStarts.add(record);
+    this.#ports.onLeaving(record.id);
+    const state = this.#findUpstream(record.id);
+    if (state?.record.bornAt === record.bornAt) state.recordLeaving();
   }
 }
--- a/packages/gateway/src/upstreams/types.ts
+++ b/packages/gateway/src/upstreams/types.ts
@@ -22,7 +22,12 @@
 };
 
 export type ExchangeEnd =
-  | { readonly kind: 'answered'; readonly answer: UpstreamAnswer; readonly isLeaving: boolean }
+  | {
+      readonly kind: 'answered';
+      readonly answer: UpstreamAnswer;
+      /** Whether the upstream closes the connection after the answer. */
+      readonly isClosing: boolean;
+    }
   /** No byte of the request was written, so the upstream cannot have run it. */
   | { readonly kind: 'unsent'; readonly reason: string }
   /** The connection ended after the request was written and before an answer began. */
--- a/packages/gateway/src/upstreams/upstream-connection.test.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.test.ts
@@ -16,6 +16,7 @@
     load: undefined,
     keepAliveMs: undefined,
     rateLimit: undefined,
+    isLeaving: headers['x-leaving'] === '1',
   }),
   buildUpstreamHeaders: () => [],
 };
@@ -40,8 +41,10 @@
   let script: ServerScript;
   let idleCount = 0;
   let closedCount = 0;
+  let leavingCount = 0;
 
   beforeEach(async () => {
+    leavingCount = 0;
     idleCount = 0;
     closedCount = 0;
     server = createServer((socket) => {
@@ -71,6 +74,9 @@
       onClosed: () => {
         closedCount += 1;
       },
+      onLeaving: () => {
+        leavingCount += 1;
+      },
     });
   }
 
@@ -105,6 +111,34 @@
     connection.close();
   });
 
+  it('reads that the upstream leaves from every head, whatever becomes of the rest', async () => {
+    const leaving = 'x-leaving: 1\r\n';
+    const own = formatAnswer('r1', 'ok');
+    const scripts: Readonly<Record<string, string>> = {
+      success: `HTTP/1.1 200 OK\r\nx-id: r1\r\n${leaving}Content-Length: 0\r\n\r\n`,
+      failure: `HTTP/1.1 500 Failed\r\nx-id: r1\r\n${leaving}Content-Length: 0\r\n\r\n`,
+      refusal: `HTTP/1.1 503 Busy\r\n${leaving}Content-Length: 0\r\n\r\n`,
+      interim: `HTTP/1.1 103 Early\r\n${leaving}\r\n${own}`,
+      'an earlier request': `HTTP/1.1 200 OK\r\nx-id: r0\r\n${leaving}Content-Length: 0\r\n\r\n${own}`,
+      'a body that is cut': `HTTP/1.1 200 OK\r\nx-id: r1\r\n${leaving}Content-Length: 9\r\n\r\nhalf`,
+      'no statement': own,
+    };
+    const counts = await Object.entries(scripts).reduce<
+      Promise<readonly (readonly [string, number])[]>
+    >(async (before, [name, bytes]) => {
+      const earlier = await before;
+      leavingCount = 0;
+      script = (socket) => socket.end(bytes);
+      const connection = connect();
+      await sendRequest(connection, 'r1');
+      connection.close();
+      return [...earlier, [name, leavingCount] as const];
+    }, Promise.resolve([]));
+    expect(counts).to.deep.equal(
+      Object.keys(scripts).map((name) => [name, name === 'no statement' ? 0 : 1]),
+    );
+  });
+
   it('skips a late answer to an earlier request', async () => {
     script = (socket) => socket.write(formatAnswer('old', 'wrong') + formatAnswer('r1', 'right'));
     const connection = connect();
@@ -225,6 +259,7 @@
       now: () => performance.now(),
       onIdle: () => undefined,
       onClosed: () => undefined,
+      onLeaving: () => undefined,
     });
     expect((await sendRequest(refused, 'r1')).kind).to.equal('unsent');
   });
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -21,6 +21,8 @@
   /** Called when the connection is ready for another request. */
   readonly onIdle: (connection: UpstreamConnection) => void;
   readonly onClosed: (connection: UpstreamConnection) => void;
+  /** Called for each head in which the upstream states that it leaves, whatever becomes of the rest. */
+  readonly onLeaving: () => void;
 };
 
 /**
@@ -167,6 +169,12 @@
     this.#dependencies.onClosed(this);
   }
 
+  /** Ends a request of which no byte has been written; one that was written goes on. */
+  failUnsent(): void {
+    if (!this.#exchange || this.#isRequestWritten) return;
+    this.#closeWith({ kind: 'unsent', reason: 'the upstream leaves' });
+  }
+
   #registerListeners(): void {
     const socket = this.#socket;
     socket.once('connect', () => this.#handleConnect());
@@ -217,7 +225,9 @@
   #handleHead(head: ResponseHead): boolean {
     const isInterim = head.status < 200;
     const headerMap = buildHeaderMap(head.headers);
-    const { requestId } = this.#dependencies.dialect.readAnswerHead(head.status, headerMap);
+    const { dialect, onLeaving } = this.#dependencies;
+    const { requestId, isLeaving } = dialect.readAnswerHead(head.status, headerMap);
+    if (isLeaving) onLeaving();
     const hasNoRequestId = requestId === undefined;
     const isOurs = hasNoRequestId || requestId === this.#exchange?.request.requestId;
     this.#incoming = { head, headerMap, isForCurrentRequest: isOurs, isInterim };
@@ -258,7 +268,7 @@
     this.#hasAnsweredBefore = true;
     this.#idleSince = this.#dependencies.now();
     this.#keepAliveMs = answerHead.keepAliveMs;
-    const isLeaving = String(headerMap.connection ?? '')
+    const isClosing = String(headerMap.connection ?? '')
       .toLowerCase()
       .includes('close');
     const answer = {
@@ -271,7 +281,7 @@
     };
     const isReusable = head.isKeptAlive && this.#socket.writableLength === 0;
     if (!isReusable) this.close();
-    onEnd({ kind: 'answered', answer, isLeaving });
+    onEnd({ kind: 'answered', answer, isClosing });
     // Deferred until the parser has returned: if bytes follow the answer, the connection is closed first.
     if (isReusable) setImmediate(() => this.#notifyIdle());
   }
--- a/packages/gateway/src/upstreams/upstream-pool.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.ts
@@ -11,6 +11,8 @@
   readonly port: number;
   readonly dialect: HttpDialect;
   readonly now: () => number;
+  /** Called whenever the upstream states in an answer that it leaves. */
+  readonly onLeaving: () => void;
 };
 
 /** A round trip within a region takes milliseconds; TCP retransmits a lost packet after a second. */
@@ -94,10 +96,16 @@
     expired.forEach((connection) => connection.close());
   }
 
-  /** Closes idle connections now and busy ones once they become idle. */
+  /** Closes idle connections and fails requests that are not written yet; the others run on. */
+  drain(): void {
+    this.closeIdle();
+    this.#openConnections.forEach((connection) => connection.failUnsent());
+  }
+
+  /** Drains the pool, and closes each busy connection once it becomes idle. */
   close(): void {
     this.#isClosing = true;
-    this.closeIdle();
+    this.drain();
   }
 
   #takeIdle(isRepeatable: boolean): UpstreamConnection | undefined {
@@ -113,7 +121,7 @@
   }
 
   #create(): UpstreamConnection {
-    const { address, port, dialect, now } = this.#dependencies;
+    const { address, port, dialect, now, onLeaving } = this.#dependencies;
     const connection = new UpstreamConnection({
       address,
       port,
@@ -121,6 +129,7 @@
       now,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxAnswerBytes: MAX_ANSWER_BYTES,
+      onLeaving,
       onIdle: (idle) => this.#handleIdle(idle),
       onClosed: (closed) => this.#handleClosed(closed),
     });
