Read the store after an own wait, whichever daemons are dark

Cause: waits in a row. A follower gave up one reader after the other, 1.2 to 1.6 s each, and read the store itself by rank, from rank 6 on after 2.2 to 3.1 s. The sum grows with the daemons that are dark, up to the wait by rank.

Fix: a daemon whose readers are silent for 0.9 s, or whose records are 1.4 s old, reads the store after a wait of its own of at most 0.3 s, drawn so that few wait briefly. The first that has read sends its update to its neighbours, which follow it until a reader answers again. The messages between daemons are unchanged.

With nobody dark the readers alone call the store.

--- a/packages/core/src/replication/freshness.ts
+++ b/packages/core/src/replication/freshness.ts
@@ -1,22 +1,17 @@
 /**
- * Tracks how fresh a daemon's records are, and decides which daemons read the store when the
- * records are stale.
+ * Tracks how fresh a daemon's records are, and how many helpers a reader asks that the store does not
+ * answer.
  *
  * Load pattern: hundreds of daemons, a store that counts every call, and readers that die or that
- * the store rejects. If every daemon read the store as soon as it received no updates, the store
- * would get the most calls when it can handle the fewest. Therefore each daemon tracks when its
- * records last matched the store, directly or through peers. When the records are stale, the
- * daemons of a data centre read the store one after the other in order of rank, each of them only
- * if the ones before it have not refreshed the records.
+ * the store rejects. Each daemon tracks when its records last matched the store, directly or through
+ * peers, and when a peer last said so.
  */
 
 export type FreshnessSettings = {
-  /** Age of the records at which the daemon of rank 0 reads the store, in milliseconds. */
-  readonly firstReadAgeMs: number;
-  /** Additional delay per rank, in milliseconds. */
-  readonly rankDelayMs: number;
-  /** Daemons from this rank on wait a random time, one to two times the delay of this rank. */
-  readonly lastOrderedRank: number;
+  /** Age at which records are stale, in milliseconds. */
+  readonly staleAgeMs: number;
+  /** Time without any fresh claim of a peer after which records are stale, in milliseconds. */
+  readonly silenceMs: number;
   /** Helpers (daemons that read in a reader's place) asked once the store does not answer it. */
   readonly initialHelpers: number;
   /** Time without an answer from a helper after which as many more are asked, in milliseconds. */
@@ -26,13 +21,13 @@
 };
 
 /**
- * In normal operation the records of a follower are up to 1.2 s old: watch calls last 0.7 s and
- * followers poll every 0.4 s. A configuration must be active within 2 s of its publication.
+ * In normal operation the records of a follower are up to 1.15 s old: watch calls last 0.7 s and
+ * followers poll every 0.4 s. A lost datagram adds 0.2 s. A configuration must be active within 2 s of
+ * its publication.
  */
 export const DEFAULT_FRESHNESS_SETTINGS: FreshnessSettings = {
-  firstReadAgeMs: 1300,
-  rankDelayMs: 150,
-  lastOrderedRank: 6,
+  staleAgeMs: 1400,
+  silenceMs: 900,
   initialHelpers: 2,
   helperTimeoutMs: 300,
   maxHelpers: 12,
@@ -46,6 +41,9 @@
   readonly sourceId: string;
 };
 
+/** Claims of one read differ by the rounding and the delay of the messages that carry them. */
+const MIN_NEWS_MS = 100;
+
 export class Freshness {
   readonly #selfId: string;
 
@@ -55,6 +53,9 @@
 
   #peerClaim = { at: Number.NEGATIVE_INFINITY, sourceId: '' };
 
+  /** When a peer last made a fresh claim, whether or not it was a newer one. */
+  #confirmedAt = Number.NEGATIVE_INFINITY;
+
   constructor(selfId: string, settings: FreshnessSettings = DEFAULT_FRESHNESS_SETTINGS) {
     this.#selfId = selfId;
     this.#settings = settings;
@@ -65,11 +66,48 @@
     this.#ownReadAt = now;
   }
 
-  /** Records a peer's claim, unless it derives from a read of this daemon. */
-  recordClaim({ ageMs, sourceId }: FreshnessClaim, now: number): void {
-    if (sourceId === this.#selfId) return;
+  /**
+   * Records a peer's claim, unless it derives from a read of this daemon. Returns whether it confirms
+   * that the records are fresh: it is, and the peer has read the store itself or tells news. A claim
+   * that is only repeated may be that of a daemon which is gone.
+   */
+  recordClaim(claim: FreshnessClaim, now: number, senderId = claim.sourceId): boolean {
+    const { ageMs, sourceId } = claim;
+    if (sourceId === this.#selfId) return false;
     const at = now - Math.max(0, ageMs);
+    const isNews = at > this.#peerClaim.at + MIN_NEWS_MS;
     if (at > this.#peerClaim.at) this.#peerClaim = { at, sourceId };
+    const isConfirmed = this.isFresh(claim) && (isNews || senderId === sourceId);
+    if (isConfirmed) this.#confirmedAt = now;
+    return isConfirmed;
+  }
+
+  /** Whether a claim of this age is one that a daemon in touch with the store makes. */
+  isFresh({ ageMs }: FreshnessClaim): boolean {
+    return ageMs < this.#settings.staleAgeMs;
+  }
+
+  /** Whether a claim is so old that the daemon that makes it may read for want of a reader. */
+  isOverdue({ ageMs }: FreshnessClaim): boolean {
+    return ageMs >= this.#settings.silenceMs;
+  }
+
+  /** Whether a peer has ever made a claim. */
+  get hasClaim(): boolean {
+    return this.#peerClaim.at > Number.NEGATIVE_INFINITY;
+  }
+
+  /**
+   * From when on the records are stale, according to peers alone. `waitsSince` is when the daemon began
+   * to wait for claims.
+   */
+  computeStaleSince(waitsSince: number): number {
+    const { staleAgeMs, silenceMs } = this.#settings;
+    if (!this.hasClaim) return waitsSince + staleAgeMs;
+    return Math.max(
+      waitsSince + silenceMs,
+      Math.min(this.#peerClaim.at + staleAgeMs, this.#confirmedAt + silenceMs),
+    );
   }
 
   /** Builds the claim for peers; undefined before the first read or claim. */
@@ -100,16 +138,4 @@
     // In normal operation a claim is up to one step old, so the first step adds no helpers.
     return Math.min(maxHelpers, initialHelpers * Math.max(1, steps));
   }
-
-  /**
-   * Whether a daemon that is not a reader should read the store itself. `rank` is its rank in its
-   * data centre, starting at 0. `jitter` is its own random number from 0 to 1, which spreads the
-   * daemons from `lastOrderedRank` on. `waitedMs` is the time since it began to wait for claims.
-   */
-  shouldRead(now: number, rank: number, jitter: number, waitedMs: number): boolean {
-    const { firstReadAgeMs, rankDelayMs, lastOrderedRank } = this.#settings;
-    const delaySteps = rank < lastOrderedRank ? rank : lastOrderedRank + jitter * lastOrderedRank;
-    const ageMs = Math.min(this.getPeerClaimAgeMs(now), waitedMs);
-    return ageMs > firstReadAgeMs + delaySteps * rankDelayMs;
-  }
 }
--- a/packages/core/src/replication/index.ts
+++ b/packages/core/src/replication/index.ts
@@ -1,5 +1,7 @@
 export { DEFAULT_FRESHNESS_SETTINGS, Freshness } from './freshness.js';
 export type { FreshnessClaim, FreshnessSettings } from './freshness.js';
+export { DEFAULT_STORE_FALLBACK_SETTINGS, StoreFallback } from './store-fallback.js';
+export type { FallbackSituation, StoreFallbackSettings } from './store-fallback.js';
 export {
   findKnownRevision,
   hasAllKnown,
--- a/packages/gateway/src/record-sync/peer-follower.ts
+++ b/packages/gateway/src/record-sync/peer-follower.ts
@@ -27,6 +27,8 @@
   readonly pollMs: number;
   /** Whether the reader should push updates as changes occur. */
   readonly wantsPush: boolean;
+  /** Whether it should read the store for this daemon, though it need not by its rank. */
+  readonly needsHelp: boolean;
 };
 
 export type PeerFollowerDependencies = {
@@ -37,29 +39,32 @@
   readonly listFollowedReaders: () => readonly FollowedReader[];
   /** What this daemon knows of the store's history. */
   readonly getKnown: () => KnownRevisions;
-  /** Whether this daemon is a reader that cannot reach the store. */
-  readonly needsHelpers: () => boolean;
   readonly sendPoll: (body: Buffer, member: Member) => void;
   /** Fetches the changes that a daemon with this knowledge lacks. */
   readonly fetch: (member: Member, known: KnownRevisions) => Promise<RecordChanges>;
   readonly onChanges: (changes: RecordChanges) => void;
   /** Called with the eras of the store that a reader knows. */
   readonly onEras: (eras: EraStarts) => void;
-  /** Called once all changes that a claim covers have been applied. */
-  readonly onClaim: (claim: FreshnessClaim) => void;
+  /** Called once all changes that a claim covers have been applied, with the daemon that made it. */
+  readonly onClaim: (claim: FreshnessClaim, senderId: string) => void;
   readonly onHeard: (id: string) => void;
   readonly onLost: (id: string, reason: string) => void;
 };
 
 /** Unanswered polls after which a reader is lost; more than one, since datagrams get lost. */
 const MAX_UNANSWERED_POLLS = 3;
+/** A poll without an answer is repeated after this share of the polling interval. */
+const RETRY_SHARE = 0.5;
+/** Polls are sent at ticks, which may come a little early; a poll that is nearly due does not wait. */
+const TICK_TOLERANCE_MS = 50;
 
 type ReaderState = {
   readonly followed: FollowedReader;
   readonly polledAt: number;
   /** Time of its last update, or of the first poll if there was none. */
   readonly heardAt: number;
-  readonly isFetching: boolean;
+  /** Whether it has answered since it is followed. */
+  readonly hasAnswered: boolean;
 };
 
 export class PeerFollower {
@@ -67,6 +72,9 @@
 
   readonly #states = new Map<string, ReaderState>();
 
+  /** Ids of the daemons from which changes are being fetched. */
+  readonly #fetching = new Set<string>();
+
   #isFetchingLostSpan = false;
 
   constructor(dependencies: PeerFollowerDependencies) {
@@ -85,17 +93,31 @@
     wanted.forEach((followed) => this.#runReader(followed, now));
   }
 
-  /** Applies an update of a followed reader; updates of other daemons are ignored. */
-  handleUpdate(news: RecordUpdate): void {
+  /** Whether a reader is followed and has sent an update within one and a half polling intervals. */
+  isAnswering(id: string): boolean {
+    const state = this.#states.get(id);
+    if (!state?.hasAnswered) return false;
+    const silentMs = this.#dependencies.clock.now() - state.heardAt;
+    return silentMs <= state.followed.pollMs * (1 + RETRY_SHARE);
+  }
+
+  isFollowing(id: string): boolean {
+    return this.#states.has(id);
+  }
+
+  /** Applies an update of a followed reader, or of another member that is named as its sender. */
+  handleUpdate(news: RecordUpdate, sender?: Member): void {
     const state = this.#states.get(news.id);
-    if (!state) return;
-    this.#states.set(news.id, { ...state, heardAt: this.#dependencies.clock.now() });
+    const member = state?.followed.member ?? sender;
+    if (!member) return;
+    const heardAt = this.#dependencies.clock.now();
+    if (state) this.#states.set(news.id, { ...state, heardAt, hasAnswered: true });
     this.#dependencies.onHeard(news.id);
     this.#dependencies.onEras(news.eras);
     const known = this.#dependencies.getKnown();
-    if (hasAllKnown(known, news.known)) this.#acceptClaim(news.claim);
+    if (hasAllKnown(known, news.known)) this.#acceptClaim(news, news.claim);
     else if (news.records && hasAllKnown(known, news.base)) this.#acceptRecords(news, news.records);
-    else this.#fetchChanges(state.followed.member, news.claim);
+    else this.#fetchChanges(member, news);
   }
 
   /** Fetches what a daemon knows of earlier eras; does nothing while such a fetch is in progress. */
@@ -116,23 +138,29 @@
   #runReader(followed: FollowedReader, now: number): void {
     const { id } = followed.member;
     const state = this.#states.get(id);
-    if (state && now - state.polledAt < followed.pollMs) return;
+    const isDue = !state || now - state.polledAt >= this.#computePollMs(state) - TICK_TOLERANCE_MS;
+    if (!isDue) return;
     const heardAt = state?.heardAt ?? now;
-    const isFetching = state?.isFetching ?? false;
-    this.#states.set(id, { followed, polledAt: now, heardAt, isFetching });
+    const hasAnswered = state?.hasAnswered ?? false;
+    this.#states.set(id, { followed, polledAt: now, heardAt, hasAnswered });
     if (now - heardAt > followed.pollMs * MAX_UNANSWERED_POLLS) {
       this.#states.delete(id);
       this.#dependencies.onLost(id, `no answer in ${Math.round(now - heardAt)} ms`);
     } else this.#sendPoll(followed);
   }
 
-  #sendPoll({ member, wantsPush }: FollowedReader): void {
-    const { selfId, getKnown, needsHelpers, sendPoll } = this.#dependencies;
-    const poll = { id: selfId, known: getKnown(), wantsPush, needsHelpers: needsHelpers() };
+  #computePollMs({ followed: { pollMs }, polledAt, heardAt }: ReaderState): number {
+    return heardAt > polledAt ? pollMs : pollMs * RETRY_SHARE;
+  }
+
+  #sendPoll({ member, wantsPush, needsHelp }: FollowedReader): void {
+    const { selfId, getKnown, sendPoll } = this.#dependencies;
+    const poll = { id: selfId, known: getKnown(), wantsPush, needsHelpers: needsHelp };
     sendPoll(formatPoll(poll), member);
   }
 
-  #acceptRecords({ known, eras, claim }: RecordUpdate, records: RecordChanges['records']): void {
+  #acceptRecords(news: RecordUpdate, records: RecordChanges['records']): void {
+    const { known, eras, claim } = news;
     this.#dependencies.onChanges({
       records,
       known,
@@ -140,34 +168,36 @@
       completeAt: undefined,
       isWhole: false,
     });
-    this.#acceptClaim(claim);
+    this.#acceptClaim(news, claim);
   }
 
-  #acceptClaim(claim: FreshnessClaim | undefined): void {
-    if (claim) this.#dependencies.onClaim(claim);
+  /**
+   * Accepts a claim, unless its sender lacks what this daemon knows of the newest era: it was frozen or
+   * has come back with earlier records, and its claim is about these.
+   */
+  #acceptClaim({ id, known }: RecordUpdate, claim: FreshnessClaim | undefined): void {
+    const newest = this.#dependencies.getKnown().at(-1);
+    if (claim && hasAllKnown(known, newest ? [newest] : [])) {
+      this.#dependencies.onClaim(claim, id);
+    }
   }
 
   /** The claim held when the update was sent, so the duration of the fetch is added to its age. */
-  #fetchChanges(member: Member, claim: FreshnessClaim | undefined): void {
-    const state = this.#states.get(member.id);
-    if (!state || state.isFetching) return;
+  #fetchChanges(member: Member, news: RecordUpdate): void {
+    if (this.#fetching.has(member.id)) return;
     const { fetch, getKnown, onChanges, log, clock } = this.#dependencies;
     const startedAt = clock.now();
-    this.#states.set(member.id, { ...state, isFetching: true });
+    const { claim } = news;
+    this.#fetching.add(member.id);
     fetch(member, getKnown())
       .then((changes) => {
         onChanges(changes);
         const spentMs = clock.now() - startedAt;
-        this.#acceptClaim(claim && { ...claim, ageMs: claim.ageMs + spentMs });
+        this.#acceptClaim(news, claim && { ...claim, ageMs: claim.ageMs + spentMs });
       })
       .catch((error: Error) =>
         log.warn('fetch-failed', { daemon: member.id, reason: error.message }),
       )
-      .finally(() => this.#finishFetch(member.id));
-  }
-
-  #finishFetch(id: string): void {
-    const state = this.#states.get(id);
-    if (state) this.#states.set(id, { ...state, isFetching: false });
+      .finally(() => this.#fetching.delete(member.id));
   }
 }
--- a/packages/gateway/src/record-sync/record-feed.ts
+++ b/packages/gateway/src/record-sync/record-feed.ts
@@ -77,6 +77,12 @@
     });
   }
 
+  /** Sends the changes since `base` to daemons that have not asked for them. */
+  notify(addresses: readonly string[], base: KnownRevisions): void {
+    const formatted = new Map<string, Buffer>();
+    addresses.forEach((address) => this.#sendUpdate(address, base, formatted));
+  }
+
   stop(): void {
     clearTimeout(this.#timer);
     this.#subscriptions.clear();
--- a/packages/gateway/src/record-sync/store-reader.test.ts
+++ b/packages/gateway/src/record-sync/store-reader.test.ts
@@ -116,6 +116,8 @@
       replica,
       source,
       shouldRead: () => isReader,
+      getIdleMs: () => Number.POSITIVE_INFINITY,
+      onCall: () => undefined,
       onChanged: () => undefined,
       onRead: () => undefined,
       onAway: () => undefined,
--- a/packages/gateway/src/record-sync/store-reader.ts
+++ b/packages/gateway/src/record-sync/store-reader.ts
@@ -18,6 +18,10 @@
   readonly source: RecordSource;
   /** Whether this daemon should read now. */
   readonly shouldRead: () => boolean;
+  /** Longest time until `shouldRead` may change, in milliseconds. */
+  readonly getIdleMs: () => number;
+  /** Called before each call to the store. */
+  readonly onCall: () => void;
   readonly onChanged: () => void;
   /** Called when an answer of the store has been applied. */
   readonly onRead: () => void;
@@ -25,6 +29,8 @@
   readonly onAway: () => void;
 };
 
+/** Duration of the first watch of a daemon that begins to read, so that it knows at once. */
+const FIRST_WATCH_MS = 1;
 /** Duration of a watch; one that ends without an answer shows that the connection is dead. */
 const WATCH_MS = 700;
 /** Pause after a change, so that the next watch returns further changes together. */
@@ -34,7 +40,7 @@
 const MAX_RETRY_MS = 1000;
 /** Maximum share added to a delay at random, so that readers do not retry at the same time. */
 const RETRY_JITTER_SHARE = 0.5;
-const IDLE_MS = 200;
+const MAX_IDLE_MS = 200;
 /** Interval of full reads during the grace period. */
 const GRACE_READ_MS = 500;
 /** Upstreams that are alive register expired entries again within this time after an outage. */
@@ -65,6 +71,8 @@
 
   #isReading = false;
 
+  #isFirstWatch = false;
+
   constructor(dependencies: StoreReaderDependencies) {
     this.#dependencies = dependencies;
   }
@@ -100,10 +108,11 @@
     if (!shouldRead) {
       this.#awaySince = undefined;
       this.#failures = 0;
-      await wait(IDLE_MS);
+      await wait(Math.min(MAX_IDLE_MS, this.#dependencies.getIdleMs()));
       return;
     }
     try {
+      this.#dependencies.onCall();
       await (this.#shouldReadAll() ? this.#readAll() : this.#watch());
       this.#recordSuccess();
     } catch (error) {
@@ -118,6 +127,7 @@
     const { log, replica } = this.#dependencies;
     log.info(isReading ? 'store-reading' : 'store-left-to-others', { revision: replica.revision });
     if (!isReading) return;
+    this.#isFirstWatch = true;
     this.#needsFullRead = replica.revision === 0;
     this.#readEra = replica.era;
     this.#readBoundChanges = replica.boundChanges;
@@ -150,7 +160,9 @@
     const { replica, source, clock, log, onChanged } = this.#dependencies;
     const { era: askedEra, revision } = replica;
     // A removal that a read of the whole store has shown stands between two of its revisions.
-    const { era: statedEra, changes } = await source.watch(Math.floor(revision), WATCH_MS);
+    const waitMs = this.#isFirstWatch ? FIRST_WATCH_MS : WATCH_MS;
+    this.#isFirstWatch = false;
+    const { era: statedEra, changes } = await source.watch(Math.floor(revision), waitMs);
     const era = this.#checkEra(statedEra);
     if (!changes || era !== askedEra) {
       log.warn('store-history-lost', { revision, knownEra: askedEra, era });
@@ -164,6 +176,7 @@
     const changedRecords = replica.applyStoreChanges(era, changes, clock.now());
     if (changedRecords.length === 0) return;
     onChanged();
+    this.#recordSuccess();
     await wait(BATCH_DELAY_MS);
   }
 
