Bound the bytes of all requests and answers together

What callers would see (report of other operators): upstreams that answer without end take the memory of the daemon, which ends with all requests on it.

Cause: one answer was bounded, the sum over the connections by nothing; bodies of requests counted only once whole; answers were kept in pieces as received, so that a chunk of a byte took a hundred bytes and kept a read buffer alive.

Fix: HeldBytes counts bodies of requests and answers together, while they come in and until they are answered and taken. At the bound the largest unfinished answer of the upstream that holds most is cut; its caller gets 502 unknown, or another attempt. A request that finds no room is refused as not run. Bodies are copied into blocks, reads share one buffer, too many tiny chunks make an answer invalid.

--- a/packages/gateway/src/edge/caller-close.test.ts
+++ b/packages/gateway/src/edge/caller-close.test.ts
@@ -12,6 +12,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 
 import type { HttpDialect } from '../dialect/index.js';
+import { HeldBytes } from '../held-bytes/index.js';
 import type { RequestEnd, RoutedRequest } from '../requests/index.js';
 import { CallerServer } from './caller-server.js';
 
@@ -131,7 +132,7 @@
     server = new CallerServer({
       clock: { now: () => performance.now() },
       dialect,
-      maxHeldBytes: 10_000,
+      heldBytes: new HeldBytes(10_000),
       getRoutes: () => routes,
       chooseService: () => 's',
       serve: (request, onEnd) => {
--- a/packages/gateway/src/edge/caller-server.test.ts
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -7,6 +7,7 @@
 import type { RoutingConfiguration } from '@baobabline/core';
 
 import type { HttpDialect } from '../dialect/index.js';
+import { HeldBytes } from '../held-bytes/index.js';
 import type { RequestEnd, RoutedRequest } from '../requests/index.js';
 import { CallerServer } from './caller-server.js';
 import type { StopGate } from './caller-server.js';
@@ -86,6 +87,7 @@
 
 describe("the callers' listener", () => {
   let server: CallerServer;
+  let heldBytes: HeldBytes;
   let port = 0;
   let served: RoutedRequest[] = [];
   let cancelled = 0;
@@ -102,11 +104,12 @@
     cut = [];
     exceptions = [];
     answers = true;
+    heldBytes = new HeldBytes(10_000);
     const routes = new RouteTable(CONFIGURATION);
     server = new CallerServer({
       clock: { now: () => performance.now() },
       dialect,
-      maxHeldBytes: 10_000,
+      heldBytes,
       getRoutes: () => routes,
       chooseService: () => 's',
       serve: (request, onEnd) => {
@@ -230,6 +233,22 @@
     socket.destroy();
   });
 
+  it('counts bodies that are still coming in, and refuses as not run what finds no room', async () => {
+    const head = 'POST /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const open = Array.from({ length: 9 }, () => connectRaw());
+    open.forEach(({ socket }) => socket.write(`${head}1f4\r\n${'x'.repeat(500)}\r\n`));
+    await waitUntil(() => heldBytes.total === 9 * 1024);
+    const reply = await sendRaw(`${head}1f4\r\n${'x'.repeat(500)}\r\n`);
+    expect(reply).to.match(/^HTTP\/1\.1 503 .*Retry-After: 1\.000/s);
+    expect(reply).to.include('not-run');
+    open.forEach(({ socket }) => socket.destroy());
+    await waitUntil(() => heldBytes.total === 0);
+    expect(served).to.have.length(0);
+    await sendRaw(`${head}5\r\nhello\r\n0\r\n\r\n`);
+    expect(served).to.have.length(1);
+    await waitUntil(() => heldBytes.total === 0);
+  });
+
   it('gives a request up when its caller leaves, and none that was answered', async () => {
     await sendRaw('GET /a/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\n\r\n');
     expect(cancelled).to.equal(0);
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -12,6 +12,7 @@
 import type { Socket } from 'node:net';
 
 import type { HttpDialect } from '../dialect/index.js';
+import type { HeldBytes } from '../held-bytes/index.js';
 import { readBody } from '../http/index.js';
 import type { BodyEnd } from '../http/index.js';
 import { computeRequestFingerprint, listOnwardHeaders } from '../requests/index.js';
@@ -26,7 +27,8 @@
 export type CallerPorts = {
   readonly clock: Clock;
   readonly dialect: HttpDialect;
-  readonly maxHeldBytes: number;
+  /** Accounts for the bodies of requests, and for answers that callers have not taken yet. */
+  readonly heldBytes: HeldBytes;
   readonly getRoutes: () => RouteTable | undefined;
   readonly chooseService: (route: RoutedRequest['route']) => string;
   readonly serve: (request: RoutedRequest, onEnd: (end: RequestEnd) => void) => ServedRequest;
@@ -68,6 +70,13 @@
   readonly endings: (() => void)[];
 };
 
+/** When this daemon may have room again. */
+const NO_ROOM_RETRY_SECONDS = 1;
+
+function createNoRoomRefusal(): RequestError {
+  return createRefusal('queueFull', { retryAfterSeconds: NO_ROOM_RETRY_SECONDS });
+}
+
 function createStopRefusal(): RequestError {
   return createRefusal('stopping', { retryAfterSeconds: STOP_RETRY_SECONDS });
 }
@@ -81,8 +90,6 @@
 
   readonly #exchanges = new Set<CallerExchange>();
 
-  #heldBytes = 0;
-
   /** Set while the daemon stops. */
   #stopGate: StopGate | undefined;
 
@@ -240,10 +247,9 @@
     if (route && !this.#mayTake(arrivedAt + Math.min(timeAllowedMs, route.timeoutMs))) {
       return createStopRefusal();
     }
-    if (this.#heldBytes + readBodyLength(message) > this.#ports.maxHeldBytes) {
-      return createRefusal('queueFull', { retryAfterSeconds: 1 });
-    }
-    return undefined;
+    return this.#ports.heldBytes.mayAcquire(readBodyLength(message))
+      ? undefined
+      : createNoRoomRefusal();
   }
 
   #mayTake(endAt: number): boolean {
@@ -257,8 +263,9 @@
       // A connection that lingers is read on, though its requests have been given up.
       if (!this.#exchanges.has(exchange)) return;
       if (body.kind === 'cut' || open.phase === 'answering') return;
-      if (body.kind === 'too-large') {
-        this.#refuse(exchange, createRefusal('bodyTooLarge'));
+      if (body.kind !== 'whole') {
+        const isTooLarge = body.kind === 'too-large';
+        this.#refuse(exchange, isTooLarge ? createRefusal('bodyTooLarge') : createNoRoomRefusal());
         return;
       }
       const request = this.#buildRequest(exchange, body);
@@ -266,11 +273,22 @@
       else if (!this.#mayTake(request.endAt)) this.#refuseInTurn(exchange, createStopRefusal());
       else this.#takeWhole(exchange, request);
     };
-    readBody(message, maxBytes, (body) =>
-      this.#runGuarded(exchange.response, () => handleBody(body)),
+    readBody(
+      message,
+      maxBytes,
+      (body) => this.#runGuarded(exchange.response, () => handleBody(body)),
+      (bytes) => this.#acquire(exchange, bytes),
     );
   }
 
+  /** Reserves bytes for a request until it has ended; one that has ended needs none. */
+  #acquire(exchange: CallerExchange, bytes: number): boolean {
+    const { heldBytes } = this.#ports;
+    if (!this.#exchanges.has(exchange) || !heldBytes.acquire(bytes)) return false;
+    exchange.endings.push(() => heldBytes.release(bytes));
+    return true;
+  }
+
   /** Ends the connection if its request throws: what was sent of an answer cannot be taken back. */
   #runGuarded(response: ServerResponse, run: () => void): void {
     try {
@@ -284,9 +302,7 @@
   #takeWhole(exchange: CallerExchange, request: RoutedRequest): void {
     const { open, connection, turn, endings } = exchange;
     open.recordWhole();
-    this.#heldBytes += request.bodyBytes;
     endings.push(() => {
-      this.#heldBytes -= request.bodyBytes;
       if (open.phase !== 'answering') open.served?.cancel();
     });
     const mayOverlap = request.route.kind === 'safe';
@@ -337,6 +353,7 @@
         else {
           open.recordAnswered();
           this.#closeWhereLast(exchange);
+          this.#recordAnswerBytes(exchange, end.answer.bodyBytes);
           writeAnswer(response, end.answer);
         }
       });
@@ -350,6 +367,13 @@
     }
   }
 
+  /** An answer is held until its caller has taken it. */
+  #recordAnswerBytes({ endings }: CallerExchange, bytes: number): void {
+    const { heldBytes } = this.#ports;
+    heldBytes.add(bytes);
+    endings.push(() => heldBytes.release(bytes));
+  }
+
   /**
    * Refuses a request, in a planned stop only when its turn has come: the refusal may end the
    * connection, and what is read until then is refused behind it.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import type { ExceptionOrigin } from './exceptions/index.js';
 import { FleetSocket } from './datagrams/index.js';
 import type { DatagramTag } from './datagrams/index.js';
+import { HeldBytes } from './held-bytes/index.js';
 import { FleetLinks, TrafficMeter } from './fleet/index.js';
 import type { TrafficPurpose } from './fleet/index.js';
 import { closeServer, HttpClient, listenOn } from './http/index.js';
@@ -98,6 +99,8 @@
     onConflict: (conflict) => this.#recordConflict(conflict),
   });
 
+  readonly #heldBytes: HeldBytes;
+
   readonly #services: RoutedServices;
 
   readonly #fleet: FleetLinks;
@@ -151,6 +154,7 @@
       this.#log.warn('record-unusable', { key, reason }),
     );
     this.#fleetSocket = this.#createFleetSocket();
+    this.#heldBytes = new HeldBytes(settings.maxHeldBytes);
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#recordExchange = this.#createRecordExchange();
@@ -380,6 +384,7 @@
       random: this.#random,
       settings: this.#settings,
       dialect: this.#platform.http,
+      heldBytes: this.#heldBytes,
       replica: this.#replica,
       countDaemons: () => Math.max(MIN_DAEMON_COUNT, this.#fleet.countExpectedDaemons()),
       hasDispatcher: (dataCentre) => this.#fleet.roles.listDispatchers(dataCentre).length > 0,
@@ -484,7 +489,7 @@
     return new CallerServer({
       clock: this.#clock,
       dialect: this.#platform.http,
-      maxHeldBytes: this.#settings.maxHeldBytes,
+      heldBytes: this.#heldBytes,
       getRoutes: () => this.#getRoutes(),
       chooseService: (route) => this.#services.chooseService(route),
       serve: (request, onEnd) => this.#serve(request, onEnd),
--- /dev/null
+++ b/packages/gateway/src/held-bytes/index.ts
@@ -0,0 +1,3 @@
+export { BodyBuffer } from './body-buffer.js';
+export { HeldBytes } from './held-bytes.js';
+export type { HeldAnswer } from './held-answer.js';
--- a/packages/gateway/src/http/read-body.ts
+++ b/packages/gateway/src/http/read-body.ts
@@ -1,11 +1,12 @@
 /**
- * Reads the whole body of a request, up to a size limit, and computes its digest as it comes in. Chunks
- * are kept as received, not joined.
+ * Reads the whole body of a request, up to a size limit, and computes its digest as it comes in.
  */
 import { createHash } from 'node:crypto';
 import type { Hash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 
+import { BodyBuffer } from '../held-bytes/index.js';
+
 export type BodyEnd =
   | {
       readonly kind: 'whole';
@@ -15,16 +16,24 @@
       readonly digest: string;
     }
   | { readonly kind: 'too-large' }
+  /** There was no room for more of it. */
+  | { readonly kind: 'no-room' }
   | { readonly kind: 'cut' };
 
-/** Reads the body; calls `onEnd` exactly once with the result. */
+/**
+ * Reads the body; calls `onEnd` exactly once with the result. `acquire` is asked for each further
+ * block of memory, in bytes, and may refuse it.
+ */
 export function readBody(
   message: IncomingMessage,
   maxBytes: number,
   onEnd: (end: BodyEnd) => void,
+  acquire: (bytes: number) => boolean = () => true,
 ): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  let hasRoom = true;
+  const body = new BodyBuffer((size) => {
+    hasRoom = hasRoom && acquire(size);
+  });
   let hash: Hash | undefined;
   let isEnded = false;
   const finish = (end: BodyEnd): void => {
@@ -33,17 +42,22 @@
     onEnd(end);
   };
   message.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > maxBytes) {
+    if (isEnded) return;
+    if (body.bytes + chunk.length > maxBytes) {
       finish({ kind: 'too-large' });
       return;
     }
-    chunks.push(chunk);
+    body.add(chunk);
+    if (!hasRoom) {
+      finish({ kind: 'no-room' });
+      return;
+    }
     hash = (hash ?? createHash('sha256')).update(chunk);
   });
-  message.once('end', () =>
-    finish({ kind: 'whole', chunks, bytes, digest: hash?.digest('base64url') ?? '' }),
-  );
+  message.once('end', () => {
+    const digest = isEnded ? '' : (hash?.digest('base64url') ?? '');
+    finish({ kind: 'whole', chunks: body.finish(), bytes: body.bytes, digest });
+  });
   message.once('error', () => finish({ kind: 'cut' }));
   message.once('close', () => finish({ kind: 'cut' }));
 }
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -19,6 +19,7 @@
 } from '@baobabline/core';
 
 import type { HttpDialect } from '../dialect/index.js';
+import type { HeldBytes } from '../held-bytes/index.js';
 import type { ReportedRateLimit, UpstreamStatement } from '../rate-limits/index.js';
 import { computeUpstreamHash } from '../reports/index.js';
 import type { DispatcherReport } from '../reports/index.js';
@@ -46,6 +47,8 @@
   readonly random: RandomSource;
   readonly settings: GatewaySettings;
   readonly dialect: HttpDialect;
+  /** Accounts for answers while they come in. */
+  readonly heldBytes: HeldBytes;
   readonly replica: Replica;
   /** Daemons that may exist, among which the slack of the retry allowance is divided. */
   readonly countDaemons: () => number;
@@ -271,11 +274,13 @@
   }
 
   #createUpstream(record: RegisteredUpstream): UpstreamState {
-    const { clock, dialect } = this.#ports;
+    const { clock, dialect, heldBytes } = this.#ports;
     const pool = new UpstreamPool({
       address: record.address,
       port: record.port,
+      upstreamId: record.id,
       dialect,
+      heldBytes,
       now: clock.now,
       onLeaving: () => this.#handleLeaving(record),
     });
--- a/packages/gateway/src/upstreams/response-parser.ts
+++ b/packages/gateway/src/upstreams/response-parser.ts
@@ -43,8 +43,15 @@
 };
 
 const CHUNK_SIZE_PATTERN = /^[0-9a-f]{1,8}\s*(;.*)?$/i;
+/**
+ * Each chunk costs processor time, however small it is. An answer may have so many, and more as long as
+ * they have this many bytes on average.
+ */
+const MAX_SMALL_CHUNKS = 8192;
+const MIN_MEAN_CHUNK_BYTES = 16;
 const LENGTH_PATTERN = /^\d{1,15}$/;
-const BODILESS_STATUSES: readonly number[] = [204, 304];
+/** Answers with these statuses have no body, whatever their headers state. */
+export const BODILESS_STATUSES: readonly number[] = [204, 304];
 
 /** The library's own choice, ASCII, drops the highest bit of each byte. */
 HTTPParser.encoding = 'latin1';
@@ -98,6 +105,10 @@
 
   #hasExtraBytes = false;
 
+  #chunkCount = 0;
+
+  #chunkBytes = 0;
+
   #fault: Error | undefined;
 
   constructor(events: ResponseEvents) {
@@ -156,9 +167,19 @@
   }
 
   #handleEnd(): void {
+    this.#chunkCount = 0;
+    this.#chunkBytes = 0;
     this.#expectsAnswer = this.#events.onEnd();
   }
 
+  /** Throws an error if the answer has too many small chunks. */
+  #countChunk(bytes: number): void {
+    this.#chunkCount += 1;
+    this.#chunkBytes += bytes;
+    const maxChunks = MAX_SMALL_CHUNKS + this.#chunkBytes / MIN_MEAN_CHUNK_BYTES;
+    if (this.#chunkCount > maxChunks) throw new Error('too many small chunks');
+  }
+
   #replaceParserSteps(): void {
     const internals = this.#parser as unknown as ParserInternals;
     const readStatusLine = internals.RESPONSE_LINE.bind(internals);
@@ -167,6 +188,7 @@
       if (line === undefined) return;
       if (!CHUNK_SIZE_PATTERN.test(line)) throw new Error('chunk size missing or malformed');
       internals.body_bytes = parseInt(line, 16);
+      this.#countChunk(internals.body_bytes);
       internals.state = internals.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
     };
     const readNextStatusLine = (): void => {
--- a/packages/gateway/src/upstreams/upstream-connection.test.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 
 import type { AnswerHead, HeaderMap, HttpDialect } from '../dialect/index.js';
+import { HeldBytes } from '../held-bytes/index.js';
 import type { ExchangeEnd } from './types.js';
 import { UpstreamConnection } from './upstream-connection.js';
 
@@ -42,9 +43,11 @@
   let idleCount = 0;
   let closedCount = 0;
   let leavingCount = 0;
+  let heldBytes: HeldBytes;
 
   beforeEach(async () => {
     leavingCount = 0;
+    heldBytes = new HeldBytes(64 * 1024 * 1024);
     idleCount = 0;
     closedCount = 0;
     server = createServer((socket) => {
@@ -67,6 +70,8 @@
       connectTimeoutMs: 1000,
       maxAnswerBytes: 1024 * 1024,
       dialect,
+      upstreamId: 'u',
+      heldBytes,
       now: () => performance.now(),
       onIdle: () => {
         idleCount += 1;
@@ -256,6 +261,8 @@
       connectTimeoutMs: 1000,
       maxAnswerBytes: 1024,
       dialect,
+      upstreamId: 'u',
+      heldBytes,
       now: () => performance.now(),
       onIdle: () => undefined,
       onClosed: () => undefined,
@@ -316,8 +323,35 @@
         const [kind, taken] = await countAcceptedBytes(start, piece);
         expect(kind).to.equal('invalid');
         expect(taken).to.be.lessThan(MAX_ACCEPTED_BYTES);
+        expect(heldBytes.total).to.equal(0);
       });
     });
+
+    it('refuses a body by its stated length alone', async () => {
+      const stated = `${HEAD}Content-Length: ${2 * MAX_ACCEPTED_BYTES}\r\n\r\n`;
+      const [kind, taken] = await countAcceptedBytes(stated, 'x');
+      expect(kind).to.equal('invalid');
+      expect(taken).to.be.lessThan(MAX_ACCEPTED_BYTES / 2);
+    });
+
+    it('is cut for a body that comes on another connection, and a short one comes whole', async () => {
+      heldBytes = new HeldBytes(600_000);
+      const kinds = ['long', 'short'].map(async (name) => {
+        script = (socket, received) => {
+          const isLong = received.includes('x-id: long');
+          const id = isLong ? 'long' : 'short';
+          socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nConnection: close\r\n\r\n`);
+          const sendPieces = (left: number): void => {
+            if (left === 0) socket.end();
+            else socket.write(Buffer.alloc(10_000), () => sendPieces(left - 1));
+          };
+          sendPieces(isLong ? 90 : 20);
+        };
+        return (await sendRequest(connect(), name)).kind;
+      });
+      expect(await Promise.all(kinds)).to.deep.equal(['invalid', 'answered']);
+      expect(heldBytes.total).to.equal(0);
+    });
   });
 
   it('rejects an answer without a request id once the connection has answered a request before', async () => {
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -6,7 +6,9 @@
 import { connect, Socket } from 'node:net';
 
 import type { HeaderMap, HttpDialect } from '../dialect/index.js';
-import { ResponseParser } from './response-parser.js';
+import { BodyBuffer } from '../held-bytes/index.js';
+import type { HeldAnswer, HeldBytes } from '../held-bytes/index.js';
+import { BODILESS_STATUSES, ResponseParser } from './response-parser.js';
 import type { ResponseHead } from './response-parser.js';
 import type { EndHandler, ExchangeEnd, ExchangeRequest } from './types.js';
 
@@ -16,6 +18,9 @@
   readonly connectTimeoutMs: number;
   /** Answers with a larger body are invalid. */
   readonly maxAnswerBytes: number;
+  readonly upstreamId: string;
+  /** Accounts for answers while they come in. */
+  readonly heldBytes: HeldBytes;
   readonly dialect: HttpDialect;
   readonly now: () => number;
   /** Called when the connection is ready for another request. */
@@ -36,6 +41,7 @@
 type Exchange = {
   readonly request: ExchangeRequest;
   readonly onEnd: EndHandler;
+  readonly held: HeldAnswer;
 };
 
 type IncomingAnswer = {
@@ -44,6 +50,7 @@
   /** Whether it belongs to the request in progress. */
   readonly isForCurrentRequest: boolean;
   readonly isInterim: boolean;
+  readonly body: BodyBuffer;
 };
 
 function buildHeaderMap(headers: readonly string[]): HeaderMap {
@@ -57,10 +64,29 @@
   return valuesByName;
 }
 
+/**
+ * All connections read into this buffer, one after the other: what has to be kept is copied. A buffer
+ * for each read would take as much memory again until it is collected.
+ */
+const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
+
 /** Connects; `connect` throws at once for some addresses, which then fails like any connection. */
-function createSocket({ address, port }: Pick<ConnectionDependencies, 'address' | 'port'>): Socket {
+function createSocket(
+  { address, port }: Pick<ConnectionDependencies, 'address' | 'port'>,
+  onData: (chunk: Buffer) => void,
+): Socket {
+  const handleRead = (bytes: number): boolean => {
+    onData(READ_BUFFER.subarray(0, bytes));
+    return true;
+  };
   try {
-    return connect({ host: address, port, noDelay: true, allowHalfOpen: true });
+    return connect({
+      host: address,
+      port,
+      noDelay: true,
+      allowHalfOpen: true,
+      onread: { buffer: READ_BUFFER, callback: handleRead },
+    });
   } catch (error) {
     return new Socket().destroy(error as Error);
   }
@@ -87,13 +113,14 @@
 
   #incoming: IncomingAnswer | undefined;
 
-  #chunks: Buffer[] = [];
-
   #bodyBytes = 0;
 
   /** Bytes received since `send` was called, heads and framing included. */
   #receivedBytes = 0;
 
+  /** The part of the bytes outside the body that `heldBytes` knows of. */
+  #heldOverheadBytes = 0;
+
   /** Whether an earlier request was answered, so that a duplicate of that answer may still arrive. */
   #hasAnsweredBefore = false;
 
@@ -113,7 +140,7 @@
       onBody: (chunk) => this.#handleBody(chunk),
       onEnd: () => this.#handleMessageEnd(),
     });
-    this.#socket = createSocket(dependencies);
+    this.#socket = createSocket(dependencies, (chunk) => this.#handleData(chunk));
     this.#connectTimer = setTimeout(
       () => this.#closeWith({ kind: 'unsent', reason: 'connect timeout' }),
       dependencies.connectTimeoutMs,
@@ -147,9 +174,14 @@
 
   /** Sends a request as soon as the connection is established. */
   send(request: ExchangeRequest, onEnd: EndHandler): void {
-    this.#exchange = { request, onEnd };
+    const { heldBytes, upstreamId } = this.#dependencies;
+    const held = heldBytes.createAnswer(upstreamId, () =>
+      this.#closeWith({ kind: 'invalid', reason: 'no room for more of the answer' }),
+    );
+    this.#exchange = { request, onEnd, held };
     this.#isRequestWritten = false;
     this.#receivedBytes = 0;
+    this.#heldOverheadBytes = 0;
     this.#bodyBytes = 0;
     this.#parser.expectAnswer();
     if (this.#isConnected) this.#write(request);
@@ -157,7 +189,7 @@
 
   /** Closes the connection without calling `onEnd` of the request. */
   abort(): void {
-    this.#exchange = undefined;
+    this.#takeExchange();
     this.close();
   }
 
@@ -178,7 +210,6 @@
   #registerListeners(): void {
     const socket = this.#socket;
     socket.once('connect', () => this.#handleConnect());
-    socket.on('data', (chunk: Buffer) => this.#handleData(chunk));
     socket.once('error', (error: NodeJS.ErrnoException) => {
       this.#hadError = true;
       this.#wasRefused = !this.#isConnected && error.code === 'ECONNREFUSED';
@@ -211,6 +242,7 @@
     }
     this.#receivedBytes += chunk.length;
     const fault = this.#parser.parse(chunk);
+    this.#recordOverhead();
     if (fault) this.#closeWith({ kind: 'invalid', reason: fault.message });
     else if (this.#parser.hasExtraBytes) this.close();
     else if (this.#countOverheadBytes() > MAX_OVERHEAD_BYTES) {
@@ -218,6 +250,13 @@
     }
   }
 
+  #recordOverhead(): void {
+    const bytes = this.#countOverheadBytes();
+    const added = Math.max(0, bytes - this.#heldOverheadBytes);
+    this.#heldOverheadBytes += added;
+    if (added > 0) this.#exchange?.held.add(added);
+  }
+
   #countOverheadBytes(): number {
     return this.#receivedBytes - (this.#incoming?.isForCurrentRequest ? this.#bodyBytes : 0);
   }
@@ -230,25 +269,33 @@
     if (isLeaving) onLeaving();
     const hasNoRequestId = requestId === undefined;
     const isOurs = hasNoRequestId || requestId === this.#exchange?.request.requestId;
-    this.#incoming = { head, headerMap, isForCurrentRequest: isOurs, isInterim };
+    const { held } = this.#exchange ?? {};
+    const body = new BodyBuffer((bytes) => held?.add(bytes));
+    this.#incoming = { head, headerMap, isForCurrentRequest: isOurs, isInterim, body };
     if (hasNoRequestId && !isInterim && this.#hasAnsweredBefore) {
       this.#closeWith({
         kind: 'invalid',
         reason: 'answer without a request id may belong to an earlier request',
       });
     }
-    this.#chunks = [];
     this.#bodyBytes = 0;
-    return isInterim || this.#exchange?.request.method === 'HEAD';
+    const statedBytes = Number(headerMap['content-length'] ?? 0);
+    const isBodiless = isInterim || this.#exchange?.request.method === 'HEAD';
+    const hasBody = !isBodiless && !BODILESS_STATUSES.includes(head.status);
+    if (hasBody && statedBytes > this.#dependencies.maxAnswerBytes) this.#refuseSize();
+    return isBodiless;
   }
 
   #handleBody(chunk: Buffer): void {
     this.#bodyBytes += chunk.length;
-    if (this.#bodyBytes > this.#dependencies.maxAnswerBytes) {
-      this.#closeWith({ kind: 'invalid', reason: 'answer body exceeds the size limit' });
-      return;
+    if (this.#bodyBytes > this.#dependencies.maxAnswerBytes) this.#refuseSize();
+    else if (this.#exchange && this.#incoming?.isForCurrentRequest) {
+      this.#incoming.body.add(chunk);
     }
-    if (this.#incoming?.isForCurrentRequest) this.#chunks.push(chunk);
+  }
+
+  #refuseSize(): void {
+    this.#closeWith({ kind: 'invalid', reason: 'answer body exceeds the size limit' });
   }
 
   /** Returns whether the answer to the request is still expected. */
@@ -262,9 +309,9 @@
     return false;
   }
 
-  #finishExchange({ onEnd }: Exchange, { head, headerMap }: IncomingAnswer): void {
+  #finishExchange({ onEnd }: Exchange, { head, headerMap, body }: IncomingAnswer): void {
     const answerHead = this.#dependencies.dialect.readAnswerHead(head.status, headerMap);
-    this.#exchange = undefined;
+    this.#takeExchange();
     this.#hasAnsweredBefore = true;
     this.#idleSince = this.#dependencies.now();
     this.#keepAliveMs = answerHead.keepAliveMs;
@@ -275,7 +322,7 @@
       status: head.status,
       statusText: head.statusText,
       headers: head.headers,
-      body: this.#chunks,
+      body: body.finish(),
       bodyBytes: this.#bodyBytes,
       head: answerHead,
     };
@@ -313,9 +360,16 @@
     else this.#closeWith({ kind: 'lost', reason });
   }
 
-  #closeWith(end: ExchangeEnd): void {
+  /** Ends the exchange, whose answer is no longer accounted for. */
+  #takeExchange(): Exchange | undefined {
     const exchange = this.#exchange;
     this.#exchange = undefined;
+    exchange?.held.close();
+    return exchange;
+  }
+
+  #closeWith(end: ExchangeEnd): void {
+    const exchange = this.#takeExchange();
     this.close();
     exchange?.onEnd(end);
   }
--- a/packages/gateway/src/upstreams/upstream-pool.test.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.test.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 
+import { HeldBytes } from '../held-bytes/index.js';
 import { PLAIN_DIALECT } from '../requests/request-fixtures.js';
 import type { ExchangeEnd } from './types.js';
 import { UpstreamPool } from './upstream-pool.js';
@@ -12,6 +13,8 @@
       address: '127.0.0.1',
       port: 99_999,
       dialect: PLAIN_DIALECT,
+      upstreamId: 'u',
+      heldBytes: new HeldBytes(1024 * 1024),
       now: () => 0,
       onLeaving: () => undefined,
     });
@@ -37,6 +40,8 @@
       address: '127.0.0.1',
       port: (server.address() as AddressInfo).port,
       dialect: PLAIN_DIALECT,
+      upstreamId: 'u',
+      heldBytes: new HeldBytes(1024 * 1024),
       now: () => performance.now(),
       onLeaving: () => undefined,
     });
--- a/packages/gateway/src/upstreams/upstream-pool.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.ts
@@ -3,13 +3,17 @@
  * first, so that surplus connections stay idle and are closed here before the upstream closes them.
  */
 import type { HttpDialect } from '../dialect/index.js';
+import type { HeldBytes } from '../held-bytes/index.js';
 import type { EndHandler, ExchangeRequest, Reachability } from './types.js';
 import { UpstreamConnection } from './upstream-connection.js';
 
 export type PoolDependencies = {
   readonly address: string;
   readonly port: number;
+  readonly upstreamId: string;
   readonly dialect: HttpDialect;
+  /** Accounts for answers while they come in. */
+  readonly heldBytes: HeldBytes;
   readonly now: () => number;
   /** Called whenever the upstream states in an answer that it leaves. */
   readonly onLeaving: () => void;
@@ -121,7 +125,7 @@
   }
 
   #create(): UpstreamConnection {
-    const { address, port, dialect, now, onLeaving } = this.#dependencies;
+    const { address, port, upstreamId, dialect, heldBytes, now, onLeaving } = this.#dependencies;
     const connection = new UpstreamConnection({
       address,
       port,
@@ -129,6 +133,8 @@
       now,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxAnswerBytes: MAX_ANSWER_BYTES,
+      upstreamId,
+      heldBytes,
       onLeaving,
       onIdle: (idle) => this.#handleIdle(idle),
       onClosed: (closed) => this.#handleClosed(closed),
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -16,6 +16,8 @@
 export type { ConnectionReply, ConnectionRequest } from './platform/caller-connection.js';
 export { buildAnswerBody, InstanceStandIn, readQuery } from './platform/instance-stand-in.js';
 export type { InstanceFault, InstanceRun, InstanceSettings } from './platform/instance-stand-in.js';
+export { ENDLESS_PARTS, EndlessInstance } from './platform/endless-instance.js';
+export type { EndlessPart } from './platform/endless-instance.js';
 export { CrashScene } from './platform/crash-scene.js';
 export type { CrashSceneSettings, SceneCrash, SceneReply } from './platform/crash-scene.js';
 export { StoreStandIn } from './platform/store-stand-in.js';
--- a/packages/stand-ins/src/platform/gateway-process.ts
+++ b/packages/stand-ins/src/platform/gateway-process.ts
@@ -71,6 +71,11 @@
     return this.#startCount;
   }
 
+  /** The id of the process that runs; undefined while none does. */
+  get processId(): number | undefined {
+    return this.#child?.pid;
+  }
+
   get isRunning(): boolean {
     return this.#child !== undefined && this.#child.exitCode === null && !this.#child.killed;
   }
