Count ends with a common cause against requests that are found at them again

Cause: ends of three or more upstreams within 250 ms with different requests were put down to a common cause, which blamed nobody however often the same requests were found.

Fix: such an end counts half against the requests that it found, once in two seconds for each. Three without a success in between quarantine a request; two never do, so that retries beside a herd stay served. The messages between daemons are unchanged.

One expectation of upstream-end-detector.test.ts was that such ends are not reported at all. They are now, marked, and the test asks for the mark; that they blame nobody who is there once or twice is asked of crash-quarantine.test.ts.

--- a/packages/core/src/crash-quarantine/crash-quarantine.test.ts
+++ b/packages/core/src/crash-quarantine/crash-quarantine.test.ts
@@ -76,6 +76,48 @@
     );
   });
 
+  // Requests that crash upstreams and come together look like a common cause.
+  it('holds for requests that are in flight time after time where upstreams crash together', () => {
+    const together = ['a', 'b', 'c', 'd'];
+    let lateRuns = 0;
+    Array.from({ length: 9 }).forEach((_, wave) => {
+      now += 4000;
+      together
+        .filter((fingerprint) => quarantine.judge(fingerprint).kind !== 'refused')
+        .forEach((fingerprint, index) => {
+          if (wave >= 3) lateRuns += 1;
+          const proper = [`${wave}-${index}-1`, `${wave}-${index}-2`];
+          quarantine.recordCommonCrash(wave * 10 + index, [fingerprint, ...proper], 0);
+        });
+    });
+    expect(together.map((one) => quarantine.judge(one).kind)).to.deep.equal(
+      together.map(() => 'refused'),
+    );
+    expect(lateRuns / together.length).to.be.at.most(3);
+    expect(changes).to.have.length(together.length);
+  });
+
+  it('does not hold for what upstreams lost that crashed together twice, however often it was retried', () => {
+    [0, 5000].forEach((wait) => {
+      now += wait;
+      Array.from({ length: 6 }).forEach(() => {
+        now += 200;
+        quarantine.recordCommonCrash(now, ['a'], 0);
+      });
+    });
+    expect(quarantine.judge('a').kind).to.equal('allowed');
+  });
+
+  it('does not hold for what crashes with a common cause have found, if it succeeds in between', () => {
+    Array.from({ length: 9 }).forEach(() => {
+      now += 4000;
+      quarantine.recordCommonCrash(now, ['a'], 0);
+      now += 500;
+      quarantine.recordSuccess('a');
+    });
+    expect(quarantine.judge('a').kind).to.equal('allowed');
+  });
+
   it('counts what one upstream lost once, whoever reports it', () => {
     quarantine.recordCrash(7, ['a'], 0);
     const other = createQuarantine();
--- a/packages/core/src/crash-quarantine/crash-quarantine.ts
+++ b/packages/core/src/crash-quarantine/crash-quarantine.ts
@@ -54,6 +54,13 @@
 const SUSPICION_MEMORY_MS = 2 * 3_600_000;
 /** Prior weight of each request in flight at a crash, in crashes. */
 const PRIOR_BLAME = 0.1;
+/**
+ * Blame for an end that has a common cause with others, unless requests are that cause. It takes three
+ * such ends to quarantine a request.
+ */
+const COMMON_CAUSE_BLAME = 0.5;
+/** Ends with a common cause count against a request once in this time, however often it was retried. */
+const COMMON_CAUSE_GAP_MS = 2000;
 /** How long changes are reported, for daemons that have started and for messages that were lost. */
 const REPORT_MS = 10_000;
 /** How soon to come back where another daemon is to try the request. */
@@ -133,6 +140,28 @@
    * and `othersInFlight` unknown ones; a request that was in flight at earlier ends bears more of it.
    */
   recordCrash(crash: number, fingerprints: readonly string[], othersInFlight: number): void {
+    this.#recordCrash(crash, fingerprints, othersInFlight, 1);
+  }
+
+  /**
+   * Records the same where other upstreams ended at that moment. What ended them together is no
+   * request as a rule, but such a cause does not find the same request time after time.
+   */
+  recordCommonCrash(crash: number, fingerprints: readonly string[], othersInFlight: number): void {
+    const latest = this.#dependencies.clock.now() - COMMON_CAUSE_GAP_MS;
+    const blamed = fingerprints.filter((fingerprint) =>
+      this.#listCounted(fingerprint).every(({ at }) => at < latest),
+    );
+    const others = othersInFlight + fingerprints.length - blamed.length;
+    this.#recordCrash(crash, blamed, others, COMMON_CAUSE_BLAME);
+  }
+
+  #recordCrash(
+    crash: number,
+    fingerprints: readonly string[],
+    othersInFlight: number,
+    sharedBlame: number,
+  ): void {
     const at = this.#dependencies.clock.now();
     const weights = fingerprints.map(
       (fingerprint) => sumBlame(this.#listCounted(fingerprint)) + PRIOR_BLAME,
@@ -140,7 +169,7 @@
     const total =
       weights.reduce((sum, weight) => sum + weight, 0) + Math.max(0, othersInFlight) * PRIOR_BLAME;
     fingerprints.forEach((fingerprint, index) => {
-      const blame = (weights[index] ?? 0) / total;
+      const blame = (sharedBlame * (weights[index] ?? 0)) / total;
       this.#put(fingerprint, { ...NO_SUSPICION, crashes: [{ crash, at, blame }] });
     });
   }
--- a/packages/gateway/src/crash-quarantine/fleet-quarantine.ts
+++ b/packages/gateway/src/crash-quarantine/fleet-quarantine.ts
@@ -134,8 +134,10 @@
     this.#reports.stop();
   }
 
-  #recordEnd({ state, fingerprints, othersInFlight }: UpstreamEnd): void {
-    this.#quarantine.recordCrash(state.startName, fingerprints, othersInFlight);
+  #recordEnd({ state, fingerprints, othersInFlight, hasCommonCause }: UpstreamEnd): void {
+    if (hasCommonCause) {
+      this.#quarantine.recordCommonCrash(state.startName, fingerprints, othersInFlight);
+    } else this.#quarantine.recordCrash(state.startName, fingerprints, othersInFlight);
     this.#reports.recordChange();
   }
 
--- a/packages/gateway/src/upstream-ends/upstream-end-detector.test.ts
+++ b/packages/gateway/src/upstream-ends/upstream-end-detector.test.ts
@@ -107,12 +107,12 @@
     expect(verdicts).to.deep.equal(['unknown']);
   });
 
-  it('blames no request where several upstreams end at the same moment', () => {
+  it('is marked where several upstreams end at the same moment, with other requests', () => {
     reachable = { u1: 'refused', u2: 'refused', u3: 'refused' };
     ['a', 'b', 'c'].forEach((fingerprint, index) => recordLoss(index, fingerprint));
     pass(WAIT_MS);
     expect(verdicts).to.deep.equal(['common-cause', 'common-cause', 'common-cause']);
-    expect(ends).to.deep.equal([]);
+    expect(ends.map(({ hasCommonCause }) => hasCommonCause)).to.deep.equal([true, true, true]);
   });
 
   it('is not put down to a common cause where one request was lost at all of them', () => {
@@ -123,6 +123,7 @@
     });
     pass(WAIT_MS);
     expect(verdicts).to.deep.equal(['ended', 'ended', 'ended']);
+    expect(ends.some(({ hasCommonCause }) => hasCommonCause)).to.equal(false);
   });
 
   it('is told apart from an earlier one', () => {
--- a/packages/gateway/src/upstream-ends/upstream-end-detector.ts
+++ b/packages/gateway/src/upstream-ends/upstream-end-detector.ts
@@ -4,7 +4,8 @@
  *
  * A lost connection alone says little: connections are reset, and a daemon can lose its own links. The
  * upstream has ended if it refuses a new connection while most other upstreams accept one. Ends of
- * several upstreams at the same moment have a common cause, which is no request.
+ * several upstreams at the same moment have a common cause. It is no request as a rule, but several
+ * requests that end upstreams may come together.
  */
 import type { Clock, RandomSource } from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
@@ -28,6 +29,8 @@
   readonly fingerprints: readonly string[];
   /** Requests of other daemons that were in flight there, as far as known. */
   readonly othersInFlight: number;
+  /** Whether other upstreams ended at the same moment with other requests. */
+  readonly hasCommonCause: boolean;
 };
 
 export type UpstreamEndDetectorDependencies = {
@@ -173,7 +176,10 @@
         othersInFlight,
       });
     }
-    if (verdict === 'ended') onEnd({ state, fingerprints: [...fingerprints], othersInFlight });
+    const hasCommonCause = verdict === 'common-cause';
+    if (verdict === 'ended' || hasCommonCause) {
+      onEnd({ state, fingerprints: [...fingerprints], othersInFlight, hasCommonCause });
+    }
     callbacks.forEach((callback) => callback());
   }
 }
