Tell beginning to read for want of a reader apart from asking whether it has begun

A property of the exchange that looked like a question began the read. A daemon that has read for others and is asked no longer also sends what it reads once more.

--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -126,8 +126,8 @@
   get requested(): KnownRevisions {
     const kept = this.#keptMissing;
     if (!kept) return this.#known;
-    const kinds = new Set(kept.at.map(([era]) => era));
-    return [...this.#known.filter(([era]) => !kinds.has(era)), ...kept.before].sort(
+    const keptEras = new Set(kept.at.map(([era]) => era));
+    return [...this.#known.filter(([era]) => !keptEras.has(era)), ...kept.before].sort(
       ([left], [right]) => left - right,
     );
   }
--- a/packages/core/src/replication/store-fallback.ts
+++ b/packages/core/src/replication/store-fallback.ts
@@ -76,6 +76,11 @@
     this.#draw = random.next();
   }
 
+  /** Whether this daemon has begun to read, and its records are not fresh yet. */
+  get isReading(): boolean {
+    return this.#isReading;
+  }
+
   /** Records that another daemon begins to read, or goes on without an answer. */
   recordReader(id: string, now: number): void {
     if (this.#readers.size === 0) this.#firstReaderAt = now;
@@ -95,6 +100,7 @@
     return Math.max(situation.staleSince + this.#computeWaitMs(situation), this.#deferredUntil);
   }
 
+  /** Whether the daemon should read the store now; once it has begun, it goes on until the reset. */
   shouldRead(situation: FallbackSituation, now: number): boolean {
     if (now < situation.staleSince) return false;
     if (this.#isReading) return true;
--- a/packages/gateway/src/record-sync/record-exchange.ts
+++ b/packages/gateway/src/record-sync/record-exchange.ts
@@ -85,6 +85,7 @@
   /** The daemon that reads in the place of silent readers, and when it was last heard. */
   #substitute: { readonly id: string; readonly heardAt: number } | undefined;
 
+  /** Whether the neighbours were told of what it read for want of a reader. */
   #hasSentRead = false;
 
   #knownBeforeRead: KnownRevisions = [];
@@ -138,12 +139,12 @@
 
   /** Whether it reads the store for want of a reader, and not by its role. */
   get #isFallingBack(): boolean {
-    const now = this.#dependencies.clock.now();
-    return (
-      !this.#isReader &&
-      now >= this.#helpsUntil &&
-      this.#fallback.shouldRead(this.#describeSituation(), now)
-    );
+    return !this.#isReader && !this.#isAsked && this.#fallback.isReading;
+  }
+
+  /** Whether other daemons have asked it to read for them. */
+  get #isAsked(): boolean {
+    return this.#dependencies.clock.now() < this.#helpsUntil;
   }
 
   get #needsHelpers(): boolean {
@@ -152,11 +153,19 @@
 
   #shouldRead(): boolean {
     const now = this.#dependencies.clock.now();
-    if (!this.#isReader && now >= this.#helpsUntil) return this.#isFallingBack;
+    if (!this.#isReader && !this.#isAsked) {
+      return this.#fallback.shouldRead(this.#describeSituation(), now);
+    }
     this.#waitsSince = now;
+    this.#resetFallback();
     return true;
   }
 
+  #resetFallback(): void {
+    this.#fallback.reset();
+    this.#hasSentRead = false;
+  }
+
   #describeSituation(): FallbackSituation {
     const { fleet, dataCentre, readerCount } = this.#dependencies;
     return {
@@ -204,9 +213,7 @@
 
   #handleClaim(claim: FreshnessClaim, senderId: string): void {
     const now = this.#dependencies.clock.now();
-    if (!this.#freshness.recordClaim(claim, now, senderId)) return;
-    this.#fallback.reset();
-    this.#hasSentRead = false;
+    if (this.#freshness.recordClaim(claim, now, senderId)) this.#resetFallback();
   }
 
   /** Takes an update of a followed reader, or of a neighbour that reads for want of a reader. */
