Blame no link to the next start for what was withdrawn from the one before

What callers would see: for a moment the new start of an upstream with the id of the one before is taken for unreachable.

Cause: since requests are withdrawn that are not written when their upstream is dropped, their end counted as a failed connection to the id, which the new start bears.

The test failed before: of two upstreams one was trusted, and the new start unreachable.

--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -420,6 +420,23 @@
       expect(desk.describe().upstreams).to.include({ leaving: 1, unreachable: 0 });
     });
 
+    it('does not blame the link to the next start for what was withdrawn from the one before', async () => {
+      desk = createDesk(0);
+      desk.applyRecords([buildUpstreamRecord('u1')]);
+      let onEnd: EndHandler | undefined;
+      desk.find('u1')!.pool.send = (_request, _isRepeatable, handler) => {
+        onEnd = handler;
+        return { abort: () => undefined } as ReturnType<UpstreamPool['send']>;
+      };
+      start('unsafe');
+      desk.applyRecords([{ ...buildUpstreamRecord('u1'), bornAt: 2 }, buildUpstreamRecord('u2')]);
+      reactions = { u2: buildAnswerEnd(200) };
+      onEnd?.(UNWRITTEN);
+      await wait(20);
+      expect([sent, describeEnd()]).to.deep.equal([['u2'], 'answered 200']);
+      expect(desk.describe().upstreams).to.include({ trusted: 2, unreachable: 0 });
+    });
+
     it('runs on there, and gets the answer', async () => {
       reactions = { u1: buildAnswerEnd(200), u2: buildAnswerEnd(200), u3: buildAnswerEnd(200) };
       start('unsafe');
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -368,8 +368,9 @@
   ): void {
     this.#record({ step: end.kind, upstream: upstreamId, reason: end.reason, elapsedMs });
     if (end.kind === 'unsent') {
-      // An upstream that leaves may be at its end, which says nothing about the link to it.
-      if (!state.isLeaving) this.#scheduler.recordReach(upstreamId, false);
+      // An upstream that leaves, or has left, says nothing about the link to it or to its next start.
+      const isPresent = this.#scheduler.find(upstreamId) === state && !state.isLeaving;
+      if (isPresent) this.#scheduler.recordReach(upstreamId, false);
       this.#sentCount -= 1;
       this.#tryAgainOrFail(true, true);
       return;
