Make no second call to the store right after a daemon's first read

A daemon that begins to read with a watch asks without waiting, so that it knows at once. One that begins with a read of everything did so too, for nothing: a call more for each start. The test of the reader failed before.

--- a/packages/gateway/src/record-sync/store-reader.test.ts
+++ b/packages/gateway/src/record-sync/store-reader.test.ts
@@ -43,6 +43,8 @@
 
   wholeReads = 0;
 
+  waits: readonly number[] = [];
+
   async readAll(): Promise<SourceAnswer<StoreChanges>> {
     this.#check();
     this.wholeReads += 1;
@@ -50,8 +52,9 @@
     return { era: this.era, changes };
   }
 
-  async watch(after: number): Promise<SourceAnswer<StoreChanges | undefined>> {
+  async watch(after: number, waitMs: number): Promise<SourceAnswer<StoreChanges | undefined>> {
     this.#check();
+    this.waits = [...this.waits, waitMs];
     if (this.hasForgotten) {
       this.hasForgotten = false;
       return { era: this.era, changes: undefined };
@@ -205,6 +208,18 @@
     expect(source.reads - before).to.be.lessThan(10);
   });
 
+  it('does not wait in its first watch, unless it has just read everything', async () => {
+    await waitFor(() => source.waits.length > 1);
+    expect(Math.min(...source.waits)).to.be.greaterThan(100);
+    isReader = false;
+    await wait(300);
+    source.waits = [];
+    isReader = true;
+    await waitFor(() => source.waits.length > 1);
+    expect(source.waits[0]).to.be.lessThan(10);
+    expect(source.waits[1]).to.be.greaterThan(100);
+  });
+
   it('makes no calls to the store while it is not a reader', async () => {
     await waitFor(() => listIds().length === 2);
     isReader = false;
--- a/packages/gateway/src/record-sync/store-reader.ts
+++ b/packages/gateway/src/record-sync/store-reader.ts
@@ -29,7 +29,7 @@
   readonly onAway: () => void;
 };
 
-/** Duration of the first watch of a daemon that begins to read, so that it knows at once. */
+/** Duration of the first watch of a daemon that begins with it to read, so that it knows at once. */
 const FIRST_WATCH_MS = 1;
 /** Duration of a watch; one that ends without an answer shows that the connection is dead. */
 const WATCH_MS = 700;
@@ -149,6 +149,7 @@
     const isInGrace = now < graceUntil;
     replica.applyStoreChanges(era, changes, now, isInGrace);
     this.#needsFullRead = isInGrace;
+    this.#isFirstWatch = false;
     this.#readEra = era;
     this.#readBoundChanges = replica.boundChanges;
     onChanged();
