Ask for the removals that a partial read hides, and read the whole store once

What callers would see: after a restore of the store, or after a new daemon has become a reader, requests go on to an upstream that has left.

A daemon that kept missing records asked for changes since the revision of the era before and so hid what it had heard of the new one. A daemon that starts and learns everything from one that has kept missing records becomes a reader and never reads the whole store.

Evidence: both counterexamples as tests of the property's model, and a test of the reader.

Fix: what a daemon asks for says that it knows a part of the revisions behind its last complete read; a daemon that becomes a reader reads the whole store if neither it nor one that it learned from has.

--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -63,6 +63,8 @@
 
 /** Places a removal that a read of the whole store shows behind all changes that the read has. */
 const AFTER_REVISION = 0.5;
+/** Added to a revision behind which only a part is known; removals after it are still missing. */
+const PARTLY_KNOWN = 0.25;
 
 function toRecord({ key, era, revision, upstream, configuration }: Row): PublishedRecord {
   return { key, era, revision, upstream, configuration };
@@ -86,8 +88,8 @@
   /** Tombstones up to these revisions may have been pruned, so an older replica needs a snapshot. */
   #pruned: KnownRevisions = [];
 
-  /** A whole read that kept what the store did not have, as long as no other state is known. */
-  #keptMissing: HistoryGap | undefined;
+  /** The last whole read, if it kept what the store did not have: removals behind `from` are missing. */
+  #keptMissing: { readonly era: number; readonly from: number; readonly to: number } | undefined;
 
   /** Spans of the history that were skipped by taking in a whole state, the newest last. */
   #gaps: readonly HistoryGap[] = [];
@@ -126,10 +128,10 @@
   get requested(): KnownRevisions {
     const kept = this.#keptMissing;
     if (!kept) return this.#known;
-    const keptEras = new Set(kept.at.map(([era]) => era));
-    return [...this.#known.filter(([era]) => !keptEras.has(era)), ...kept.before].sort(
-      ([left], [right]) => left - right,
-    );
+    return this.#known.map(([era, revision]): KnownRevisions[number] => [
+      era,
+      era === kept.era ? Math.min(revision, kept.from + PARTLY_KNOWN) : revision,
+    ]);
   }
 
   /** The newest era of the store that is known; undefined before the first read. */
@@ -142,6 +144,11 @@
     return this.era === undefined ? 0 : findKnownRevision(this.#known, this.era);
   }
 
+  /** Whether this daemon, or one that it learned from, has read the whole store without keeping anything. */
+  get hasCompleteRead(): boolean {
+    return this.#completeAt !== undefined;
+  }
+
   /** When this daemon learned of the last restore, in milliseconds; -Infinity if there was none. */
   get eraLearnedAt(): number {
     return this.#eraLearnedAt;
@@ -204,8 +211,7 @@
     keepsMissing = false,
   ): readonly PublishedRecord[] {
     this.recordEra(era, revision, now);
-    if (isWhole) this.#recordGap([[era, revision]]);
-    if (isWhole) this.#recordKept(era, revision, keepsMissing);
+    if (isWhole) this.#recordWholeRead(era, revision, keepsMissing);
     const read = records.map((record) => ({ ...record, era }));
     read.forEach((record) => this.#refreshBound(record, now));
     const accepted = this.#acceptAll(read, now);
@@ -224,9 +230,8 @@
     const accepted = this.#acceptAll([...records, ...removals], now);
     if (changes.isWhole && changes.completeAt) this.#recordCompleteRead(changes.completeAt);
     const agreed = this.#listAgreedKnown(changes);
-    if (this.#keptMissing && hasAllKnown(agreed, this.#keptMissing.at)) {
-      this.#keptMissing = undefined;
-    }
+    const kept = this.#keptMissing;
+    if (kept && findKnownRevision(agreed, kept.era) >= kept.to) this.#keptMissing = undefined;
     this.#raiseKnown(agreed);
     return accepted;
   }
@@ -256,20 +261,21 @@
     };
   }
 
+  #recordWholeRead(era: number, to: number, keepsMissing: boolean): void {
+    this.#recordGap([[era, to]]);
+    const from =
+      this.#keptMissing?.era === era ? this.#keptMissing.from : findKnownRevision(this.#known, era);
+    this.#keptMissing = keepsMissing ? { era, from, to } : undefined;
+  }
+
   /** Records that a whole state is taken in which is known up to these revisions. */
   #recordGap(at: KnownRevisions): void {
     if (hasAllKnown(this.#known, at)) return;
-    const [oldest, ...others] = [...this.#gaps, { before: this.#known, at }];
-    const isFull = others.length >= MAX_GAPS;
-    if (isFull && oldest) this.#pruned = mergeKnown(this.#pruned, oldest.at);
-    this.#gaps = isFull || !oldest ? others : [oldest, ...others];
-  }
-
-  /** Notes from where on removals are missing, until they are learned or the store is read again. */
-  #recordKept(era: number, revision: number, keepsMissing: boolean): void {
-    const from = findKnownRevision(this.requested, era);
-    const before: KnownRevisions = from > 0 ? [[era, from]] : [];
-    this.#keptMissing = keepsMissing ? { before, at: [[era, revision]] } : undefined;
+    const gaps = [...this.#gaps, { before: this.#known, at }];
+    this.#pruned = gaps
+      .slice(0, -MAX_GAPS)
+      .reduce((pruned, forgotten) => mergeKnown(pruned, forgotten.at), this.#pruned);
+    this.#gaps = gaps.slice(-MAX_GAPS);
   }
 
   /** Whether a daemon may have records whose removal this one does not know of. */
--- a/packages/core/src/replication/restored-store.test.ts
+++ b/packages/core/src/replication/restored-store.test.ts
@@ -47,6 +47,18 @@
   });
 }
 
+function checkAlike(model: StoreModel): void {
+  const ready = model.listReady();
+  model.replicas.forEach((replica) => {
+    expect(replica.configuration?.version).to.equal(model.version);
+    const ids = replica
+      .listUpstreams()
+      .filter(({ state }) => state === 'ready')
+      .map(({ id }) => id);
+    expect(ids.sort()).to.deep.equal(ready);
+  });
+}
+
 describe('a replica of a store that comes back from older copies', () => {
   it('never goes back, whatever is read, sent, delayed and restarted between restores', () => {
     fc.assert(
@@ -69,17 +81,41 @@
           operations[operation]?.(model, first, second),
         );
         settleFleet(model);
-        const ready = model.listReady();
-        model.replicas.forEach((replica) => {
-          expect(replica.configuration?.version).to.equal(model.version);
-          const ids = replica
-            .listUpstreams()
-            .filter(({ state }) => state === 'ready')
-            .map(({ id }) => id);
-          expect(ids.sort()).to.deep.equal(ready);
-        });
+        checkAlike(model);
       }),
       { seed: SEED, numRuns: CONVERGENCE_RUNS },
     );
   });
+
+  it('does not keep an upstream that it heard of while it kept what the store did not have', () => {
+    const model = new StoreModel(DAEMONS);
+    model.takeCopy();
+    model.addUpstream();
+    [0, 1].forEach((daemon) => model.watch(daemon));
+    model.restore(0);
+    model.addUpstream();
+    model.putConfiguration();
+    model.watch(1);
+    Array.from({ length: 4 }).forEach(() => model.advanceUpstream(0));
+    model.restore(0);
+    model.putConfiguration();
+    settleFleet(model);
+    checkAlike(model);
+  });
+
+  it('does not keep an upstream because a reader learned all from one that kept what was missing', () => {
+    const model = new StoreModel(DAEMONS);
+    model.addUpstream();
+    model.takeCopy();
+    model.watch(2);
+    model.advanceUpstream(0);
+    model.restore(0);
+    Array.from({ length: 3 }).forEach(() => model.putConfiguration());
+    model.advanceUpstream(0);
+    model.watch(1);
+    model.exchange(1, 0);
+    model.putConfiguration();
+    settleFleet(model);
+    checkAlike(model);
+  });
 });
--- a/packages/core/src/replication/store-model.ts
+++ b/packages/core/src/replication/store-model.ts
@@ -142,6 +142,7 @@
     const after = Math.floor(replica?.revision ?? 0);
     const needsFullRead =
       this.#keepsMissing.has(daemon) ||
+      !replica?.hasCompleteRead ||
       replica?.boundChanges !== (this.#readBoundChanges[daemon] ?? 0) ||
       after > this.#copy.revision ||
       after === 0;
--- a/packages/gateway/src/record-sync/store-reader.test.ts
+++ b/packages/gateway/src/record-sync/store-reader.test.ts
@@ -95,18 +95,11 @@
     await waitFor(holds, left - 1);
   }
 
-  beforeEach(() => {
-    source = new FakeSource();
-    source.records = [buildRecord('a', 2), buildRecord('b', 3)];
-    source.revision = 3;
-    replica = new Replica();
-    isReader = true;
-    events = [];
-    now = 0;
+  function createReader(read: Replica): StoreReader {
     const record = (event: string): void => {
       events = [...events, event];
     };
-    reader = new StoreReader({
+    return new StoreReader({
       clock: { now: () => now },
       random: createRandom(1),
       log: {
@@ -116,7 +109,7 @@
         shouldLogDecision: () => false,
         decision: record,
       },
-      replica,
+      replica: read,
       source,
       shouldRead: () => isReader,
       getIdleMs: () => Number.POSITIVE_INFINITY,
@@ -125,6 +118,17 @@
       onRead: () => undefined,
       onAway: () => undefined,
     });
+  }
+
+  beforeEach(() => {
+    source = new FakeSource();
+    source.records = [buildRecord('a', 2), buildRecord('b', 3)];
+    source.revision = 3;
+    replica = new Replica();
+    isReader = true;
+    events = [];
+    now = 0;
+    reader = createReader(replica);
     reader.start();
   });
 
@@ -208,6 +212,18 @@
     expect(source.reads - before).to.be.lessThan(10);
   });
 
+  it('reads everything if what it learned from others is not known to be complete', async () => {
+    await waitFor(() => listIds().length === 2);
+    reader.stop();
+    const learned = new Replica();
+    learned.applyChanges({ ...replica.listChangesSince([]), completeAt: undefined }, now);
+    expect([learned.revision, learned.hasCompleteRead]).to.deep.equal([3, false]);
+    const { wholeReads } = source;
+    reader = createReader(learned);
+    reader.start();
+    await waitFor(() => source.wholeReads > wholeReads);
+  });
+
   it('does not wait in its first watch, unless it has just read everything', async () => {
     await waitFor(() => source.waits.length > 1);
     expect(Math.min(...source.waits)).to.be.greaterThan(100);
--- a/packages/gateway/src/record-sync/store-reader.ts
+++ b/packages/gateway/src/record-sync/store-reader.ts
@@ -29,7 +29,7 @@
   readonly onAway: () => void;
 };
 
-/** Duration of the first watch of a daemon that begins with it to read, so that it knows at once. */
+/** Duration of the watch with which a daemon begins to read: it asks for what has changed so far. */
 const FIRST_WATCH_MS = 1;
 /** Duration of a watch; one that ends without an answer shows that the connection is dead. */
 const WATCH_MS = 700;
@@ -128,7 +128,7 @@
     log.info(isReading ? 'store-reading' : 'store-left-to-others', { revision: replica.revision });
     if (!isReading) return;
     this.#isFirstWatch = true;
-    this.#needsFullRead = replica.revision === 0;
+    this.#needsFullRead = replica.revision === 0 || !replica.hasCompleteRead;
     this.#readEra = replica.era;
     this.#readBoundChanges = replica.boundChanges;
   }
