Tell withdrawn requests apart from failed connections

A request that was placed at an upstream and not yet written when the upstream began to leave ended as `unsent`, as after a failed connection. The run then had to find out from the upstream's state whether the link was to blame.

A removed record and one that says that the upstream leaves end the same way.

Shown by request-run.test.ts (the two tests of such requests, as strict as before, and one more for records) and upstream-pool.test.ts. Same callers' results as before.

--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -33,6 +33,7 @@
   let aborted: string[] = [];
   let probed: string[] = [];
   let drained: string[] = [];
+  let closed: string[] = [];
   let reactions: Record<string, Reaction>;
   let desk: ServiceScheduler;
   let ends: RequestEnd[] = [];
@@ -66,7 +67,9 @@
           },
         };
       },
-      close: () => undefined,
+      close: () => {
+        closed = [...closed, id];
+      },
       closeIdle: () => undefined,
       drain: () => {
         drained = [...drained, id];
@@ -108,6 +111,7 @@
     aborted = [];
     probed = [];
     drained = [];
+    closed = [];
     ends = [];
     reactions = {};
     guard = NO_CRASH_GUARD;
@@ -365,7 +369,20 @@
   });
 
   describe('at a service of which an upstream states that it leaves', () => {
-    const UNWRITTEN: ExchangeEnd = { kind: 'unsent', reason: 'the upstream leaves' };
+    const WITHDRAWN: ExchangeEnd = { kind: 'withdrawn', reason: 'the upstream leaves' };
+
+    /** Starts a request whose connection is being opened, with no retry budget; returns its withdrawal. */
+    function startUnwritten(): () => void {
+      desk = createDesk(0);
+      desk.applyRecords([buildUpstreamRecord('u1')]);
+      let onEnd: EndHandler | undefined;
+      desk.find('u1')!.pool.send = (_request, _isRepeatable, handler) => {
+        onEnd = handler;
+        return { abort: () => undefined } as ReturnType<UpstreamPool['send']>;
+      };
+      start('unsafe');
+      return () => onEnd?.(WITHDRAWN);
+    }
 
     function recordLeaving(...ids: readonly string[]): void {
       ids.forEach((id) => desk.find(id)?.recordLeaving());
@@ -403,35 +420,21 @@
     });
 
     it('goes elsewhere at no cost where it was not written yet, and blames no link', async () => {
-      desk = createDesk(0);
-      desk.applyRecords([buildUpstreamRecord('u1')]);
-      let onEnd: EndHandler | undefined;
-      desk.find('u1')!.pool.send = (_request, _isRepeatable, handler) => {
-        onEnd = handler;
-        return { abort: () => undefined } as ReturnType<UpstreamPool['send']>;
-      };
-      start('unsafe');
+      const withdraw = startUnwritten();
       desk.applyRecords([buildUpstreamRecord('u1'), buildUpstreamRecord('u2')]);
       reactions = { u2: buildAnswerEnd(200) };
       recordLeaving('u1');
-      onEnd?.(UNWRITTEN);
+      withdraw();
       await wait(20);
       expect([sent, drained, describeEnd()]).to.deep.equal([['u2'], ['u1'], 'answered 200']);
       expect(desk.describe().upstreams).to.include({ leaving: 1, unreachable: 0 });
     });
 
     it('does not blame the link to the next start for what was withdrawn from the one before', async () => {
-      desk = createDesk(0);
-      desk.applyRecords([buildUpstreamRecord('u1')]);
-      let onEnd: EndHandler | undefined;
-      desk.find('u1')!.pool.send = (_request, _isRepeatable, handler) => {
-        onEnd = handler;
-        return { abort: () => undefined } as ReturnType<UpstreamPool['send']>;
-      };
-      start('unsafe');
+      const withdraw = startUnwritten();
       desk.applyRecords([{ ...buildUpstreamRecord('u1'), bornAt: 2 }, buildUpstreamRecord('u2')]);
       reactions = { u2: buildAnswerEnd(200) };
-      onEnd?.(UNWRITTEN);
+      withdraw();
       await wait(20);
       expect([sent, describeEnd()]).to.deep.equal([['u2'], 'answered 200']);
       expect(desk.describe().upstreams).to.include({ trusted: 2, unreachable: 0 });
@@ -445,6 +448,14 @@
       expect(describeEnd()).to.equal('answered 200');
     });
 
+    it('is withdrawn there where it is not written yet, whether by its record or by its removal', () => {
+      const records = ['u1', 'u2', 'u3'].map((id) => buildUpstreamRecord(id));
+      desk.applyRecords(records.map((one, at) => (at > 0 ? one : { ...one, state: 'draining' })));
+      expect(drained).to.deep.equal(['u1']);
+      desk.applyRecords(records.slice(0, 2));
+      expect(closed).to.deep.equal(['u3']);
+    });
+
     it('is refused at once as not run where all of them leave', () => {
       recordLeaving('u1', 'u2', 'u3');
       start('safe');
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -367,10 +367,8 @@
     elapsedMs: number,
   ): void {
     this.#record({ step: end.kind, upstream: upstreamId, reason: end.reason, elapsedMs });
-    if (end.kind === 'unsent') {
-      // An upstream that leaves, or has left, says nothing about the link to it or to its next start.
-      const isPresent = this.#scheduler.find(upstreamId) === state && !state.isLeaving;
-      if (isPresent) this.#scheduler.recordReach(upstreamId, false);
+    if (end.kind === 'unsent' || end.kind === 'withdrawn') {
+      if (end.kind === 'unsent') this.#scheduler.recordReach(upstreamId, false);
       this.#sentCount -= 1;
       this.#tryAgainOrFail(true, true);
       return;
--- a/packages/gateway/src/upstreams/types.ts
+++ b/packages/gateway/src/upstreams/types.ts
@@ -30,6 +30,8 @@
     }
   /** No byte of the request was written, so the upstream cannot have run it. */
   | { readonly kind: 'unsent'; readonly reason: string }
+  /** No byte was written either, since the upstream leaves: nothing has failed. */
+  | { readonly kind: 'withdrawn'; readonly reason: string }
   /** The connection ended after the request was written and before an answer began. */
   | { readonly kind: 'lost'; readonly reason: string }
   /** The answer was malformed, truncated or too large. */
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -201,10 +201,10 @@
     this.#dependencies.onClosed(this);
   }
 
-  /** Ends a request of which no byte has been written; one that was written goes on. */
-  failUnsent(): void {
+  /** Withdraws a request of which no byte has been written; one that was written goes on. */
+  cancelUnsent(): void {
     if (!this.#exchange || this.#isRequestWritten) return;
-    this.#closeWith({ kind: 'unsent', reason: 'the upstream leaves' });
+    this.#closeWith({ kind: 'withdrawn', reason: 'the upstream leaves' });
   }
 
   #registerListeners(): void {
--- a/packages/gateway/src/upstreams/upstream-pool.test.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.test.ts
@@ -27,7 +27,7 @@
     expect(pool.openCount).to.equal(0);
   });
 
-  it('fails what is not written yet when it is drained, and lets the rest run on', async () => {
+  it('withdraws what is not written yet when it is drained, and lets the rest run on', async () => {
     const server = createServer((socket) =>
       socket.on('data', () =>
         setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'), 40),
@@ -56,7 +56,7 @@
     const written = send('written');
     const unwritten = send('unwritten');
     pool.drain();
-    expect((await unwritten).kind).to.equal('unsent');
+    expect((await unwritten).kind).to.equal('withdrawn');
     expect((await written).kind).to.equal('answered');
     pool.close();
     server.close();
--- a/packages/gateway/src/upstreams/upstream-pool.ts
+++ b/packages/gateway/src/upstreams/upstream-pool.ts
@@ -100,10 +100,10 @@
     expired.forEach((connection) => connection.close());
   }
 
-  /** Closes idle connections and fails requests that are not written yet; the others run on. */
+  /** Closes idle connections and withdraws requests that are not written yet; the others run on. */
   drain(): void {
     this.closeIdle();
-    this.#openConnections.forEach((connection) => connection.failUnsent());
+    this.#openConnections.forEach((connection) => connection.cancelUnsent());
   }
 
   /** Drains the pool, and closes each busy connection once it becomes idle. */
