Give the choice of a substitute for silent readers a class of its own

`RecordExchange` kept who reads in the place of silent readers among its other state.

Tests that were missing: while the next six readers of a data centre stay dark one substitute of each data centre reads the store, not all that have begun; a follower asks again at once while it has no answer; a reader that lacks what is known here gets no claim accepted.

--- a/packages/core/src/replication/store-fallback.test.ts
+++ b/packages/core/src/replication/store-fallback.test.ts
@@ -91,14 +91,22 @@
     expect(begun.length).to.equal(98);
     const telling = createDaemons(98, 3);
     begun = [];
+    let begunAt: readonly number[] = [];
     runFor(telling, 20_000, ({ id }, now) => {
       begun = [...begun, id];
+      begunAt = [...begunAt, now];
       telling.forEach(({ id: other, fallback }) => {
         if (other !== id) fallback.recordReader(id, now);
       });
     });
+    const settings = DEFAULT_STORE_FALLBACK_SETTINGS;
+    const { initialReaders, maxReaders, readTimeoutMs, readerLifetimeMs } = settings;
+    const firstAt = Math.min(...begunAt);
+    const early = begunAt.filter((at) => at < firstAt + readTimeoutMs);
+    expect(early.length).to.equal(initialReaders);
+    const first = begunAt.filter((at) => at < firstAt + readerLifetimeMs);
+    expect(first.length).to.be.at.most(maxReaders);
     // What daemons say is heard for four seconds; here each of them says it once.
-    const { maxReaders, readerLifetimeMs } = DEFAULT_STORE_FALLBACK_SETTINGS;
     expect(begun.length).to.be.at.most((maxReaders * 20_000) / readerLifetimeMs + maxReaders);
   });
 
--- a/packages/core/src/replication/store-fallback.ts
+++ b/packages/core/src/replication/store-fallback.ts
@@ -131,6 +131,6 @@
   #computeMaxReaders(now: number): number {
     const { initialReaders, maxReaders, readTimeoutMs } = this.#settings;
     const doublings = Math.floor((now - this.#firstReaderAt) / readTimeoutMs);
-    return Math.min(maxReaders, initialReaders * 2 ** Math.min(doublings, 8));
+    return Math.min(maxReaders, initialReaders * 2 ** doublings);
   }
 }
--- a/packages/gateway/src/record-sync/messages.ts
+++ b/packages/gateway/src/record-sync/messages.ts
@@ -23,7 +23,7 @@
   readonly known: KnownRevisions;
   /** Whether it wants updates pushed as changes occur, until its subscription expires. */
   readonly wantsPush: boolean;
-  /** Whether it is a reader that cannot reach the store, and so needs helpers to read it. */
+  /** Whether the receiver should read the store for it, as a helper or a substitute. */
   readonly needsHelpers: boolean;
 };
 
--- a/packages/gateway/src/record-sync/peer-follower.test.ts
+++ b/packages/gateway/src/record-sync/peer-follower.test.ts
@@ -52,6 +52,8 @@
 
   datagrams = 0;
 
+  polls = 0;
+
   readonly readerReplica = new Replica();
 
   readonly followerReplica = new Replica();
@@ -77,8 +79,9 @@
     listFollowedReaders: () => [
       { member: READER, pollMs: POLL_MS, wantsPush: true, needsHelp: false },
     ],
-    getKnown: () => this.followerReplica.known,
+    getRequested: () => this.followerReplica.requested,
     sendPoll: (body) => {
+      this.polls += 1;
       const poll = parsePoll(body);
       if (poll && !this.isLosing) this.feed.handlePoll(poll, '10.0.0.2');
     },
@@ -181,6 +184,28 @@
     expect(pair.lost).to.deep.equal([READER.id]);
   });
 
+  it('polls again before the next poll is due while it has no answer', () => {
+    pair.runFor(5000);
+    pair.isLosing = true;
+    const before = pair.polls;
+    pair.runFor(3 * POLL_MS);
+    expect(pair.polls - before).to.be.at.least(5);
+  });
+
+  it('takes no claim of a reader that lacks what is known here', async () => {
+    pair.publish([buildRecord('a', 2)], 2);
+    pair.runFor(TICK_MS);
+    await waitForFetches();
+    const changes = { records: [buildRecord('b', 3)], revision: 3, isWhole: false };
+    pair.followerReplica.applyStoreChanges(1, changes, pair.now);
+    const { claims } = pair;
+    pair.runFor(2 * POLL_MS);
+    expect(pair.claims).to.equal(claims);
+    pair.publish([buildRecord('b', 3)], 3);
+    pair.runFor(2 * POLL_MS);
+    expect(pair.claims).to.be.greaterThan(claims);
+  });
+
   it('sends no updates to a follower that stopped polling', () => {
     pair.runFor(TICK_MS);
     pair.now += 2000;
--- a/packages/gateway/src/record-sync/peer-follower.ts
+++ b/packages/gateway/src/record-sync/peer-follower.ts
@@ -38,7 +38,7 @@
   /** Lists the readers to follow at present. */
   readonly listFollowedReaders: () => readonly FollowedReader[];
   /** What other daemons have to send changes since. */
-  readonly getKnown: () => KnownRevisions;
+  readonly getRequested: () => KnownRevisions;
   readonly sendPoll: (body: Buffer, member: Member) => void;
   /** Fetches the changes that a daemon with this knowledge lacks. */
   readonly fetch: (member: Member, known: KnownRevisions) => Promise<RecordChanges>;
@@ -114,7 +114,7 @@
     if (state) this.#states.set(news.id, { ...state, heardAt, hasAnswered: true });
     this.#dependencies.onHeard(news.id);
     this.#dependencies.onEras(news.eras);
-    const known = this.#dependencies.getKnown();
+    const known = this.#dependencies.getRequested();
     if (hasAllKnown(known, news.known)) this.#acceptClaim(news, news.claim);
     else if (news.records && hasAllKnown(known, news.base)) this.#acceptRecords(news, news.records);
     else this.#fetchChanges(member, news);
@@ -124,8 +124,8 @@
   fetchLostSpan(member: Member): void {
     if (this.#isFetchingLostSpan) return;
     this.#isFetchingLostSpan = true;
-    const { fetch, getKnown, onChanges, log } = this.#dependencies;
-    fetch(member, getKnown())
+    const { fetch, getRequested, onChanges, log } = this.#dependencies;
+    fetch(member, getRequested())
       .then(onChanges)
       .catch((error: Error) =>
         log.warn('fetch-failed', { daemon: member.id, reason: error.message }),
@@ -154,8 +154,8 @@
   }
 
   #sendPoll({ member, wantsPush, needsHelp }: FollowedReader): void {
-    const { selfId, getKnown, sendPoll } = this.#dependencies;
-    const poll = { id: selfId, known: getKnown(), wantsPush, needsHelpers: needsHelp };
+    const { selfId, getRequested, sendPoll } = this.#dependencies;
+    const poll = { id: selfId, known: getRequested(), wantsPush, needsHelpers: needsHelp };
     sendPoll(formatPoll(poll), member);
   }
 
@@ -176,7 +176,7 @@
    * has come back with earlier records, and its claim is about these.
    */
   #acceptClaim({ id, known }: RecordUpdate, claim: FreshnessClaim | undefined): void {
-    const newest = this.#dependencies.getKnown().at(-1);
+    const newest = this.#dependencies.getRequested().at(-1);
     if (claim && hasAllKnown(known, newest ? [newest] : [])) {
       this.#dependencies.onClaim(claim, id);
     }
@@ -185,11 +185,11 @@
   /** The claim held when the update was sent, so the duration of the fetch is added to its age. */
   #fetchChanges(member: Member, news: RecordUpdate): void {
     if (this.#fetching.has(member.id)) return;
-    const { fetch, getKnown, onChanges, log, clock } = this.#dependencies;
+    const { fetch, getRequested, onChanges, log, clock } = this.#dependencies;
     const startedAt = clock.now();
     const { claim } = news;
     this.#fetching.add(member.id);
-    fetch(member, getKnown())
+    fetch(member, getRequested())
       .then((changes) => {
         onChanges(changes);
         const spentMs = clock.now() - startedAt;
--- a/packages/gateway/src/record-sync/record-exchange.test.ts
+++ b/packages/gateway/src/record-sync/record-exchange.test.ts
@@ -165,6 +165,17 @@
     await fleet.runFor(APPLY_BOUND_MS);
   });
 
+  it('are read by one substitute of each data centre as long as the next readers stay dark', async () => {
+    const fleet = await startFleet(MEDIUM, 2, 0);
+    chooseNextReaders(fleet, 6).forEach((one) => Object.assign(one, { isDark: true }));
+    await fleet.runFor(2 * APPLY_BOUND_MS);
+    fleet.callers.clear();
+    await fleet.runFor(APPLY_BOUND_MS);
+    expect(fleet.callers.size).to.equal(MEDIUM.length);
+    fleet.stop();
+    await fleet.runFor(APPLY_BOUND_MS);
+  });
+
   it('are read by the readers alone while nobody is dark and no datagram is lost', async () => {
     const fleet = await startFleet(MEDIUM, 1, 0);
     fleet.callers.clear();
--- a/packages/gateway/src/record-sync/record-exchange.ts
+++ b/packages/gateway/src/record-sync/record-exchange.ts
@@ -30,6 +30,7 @@
 import type { Poll, RecordUpdate } from './messages.js';
 import { PeerFollower } from './peer-follower.js';
 import type { FollowedReader } from './peer-follower.js';
+import { ReaderSubstitute } from './reader-substitute.js';
 import { RecordFeed } from './record-feed.js';
 import { StoreReader } from './store-reader.js';
 
@@ -57,10 +58,6 @@
 const FAR_POLL_MS = 1000;
 /** A helper reads on for a few poll intervals after the last request for help. */
 const HELP_DURATION_MS = 1500;
-/** A substitute that was not heard for this long is followed no longer. */
-const SUBSTITUTE_LIFETIME_MS = 1500;
-/** Daemons that begin to read for the same reason do so within this time. */
-const SUBSTITUTE_CHOICE_MS = 300;
 const FETCH_TIMEOUT_MS = 700;
 const OK_STATUS = 200;
 
@@ -82,8 +79,7 @@
 
   #helpsUntil = Number.NEGATIVE_INFINITY;
 
-  /** The daemon that reads in the place of silent readers, and when it was last heard. */
-  #substitute: { readonly id: string; readonly heardAt: number } | undefined;
+  readonly #substitute = new ReaderSubstitute();
 
   /** Whether the neighbours were told of what it read for want of a reader. */
   #hasSentRead = false;
@@ -218,7 +214,7 @@
 
   /** Takes an update of a followed reader, or of a neighbour that reads for want of a reader. */
   #handleUpdate(news: RecordUpdate): void {
-    const { clock, fleet, dataCentre } = this.#dependencies;
+    const { clock, fleet, dataCentre, selfId } = this.#dependencies;
     const now = clock.now();
     const isFollowed = this.#follower.isFollowing(news.id);
     const sender = fleet.membership.members.get(news.id);
@@ -228,27 +224,22 @@
     if (!isFollowed && isNeighbour && !hasRead && isOverdue) {
       this.#fallback.recordReader(news.id, now);
     }
-    if (this.#substitute?.id === news.id) this.#substitute = { id: news.id, heardAt: now };
-    else if (!isFollowed && isNeighbour && hasRead) this.#offerSubstitute(news.id, now);
+    this.#substitute.recordHeard(news.id, now);
+    // A daemon that reads itself leaves it to those with a lower id.
+    const isBehindSelf = this.#isFallingBack && selfId < news.id;
+    if (!isFollowed && isNeighbour && hasRead && !isBehindSelf) {
+      this.#substitute.offer(news.id, now);
+    }
     this.#follower.handleUpdate(news, isNeighbour && hasRead ? sender : undefined);
   }
 
-  /** Of several that begin to read at the same time, the one with the lowest id goes on. */
-  #offerSubstitute(id: string, now: number): void {
-    const { selfId } = this.#dependencies;
-    const known = this.#substitute;
-    const isBehindKnown = known && known.id < id && now - known.heardAt <= SUBSTITUTE_CHOICE_MS;
-    const isBehindSelf = this.#isFallingBack && selfId < id;
-    if (!isBehindKnown && !isBehindSelf) this.#substitute = { id, heardAt: now };
-  }
-
   /** The substitute, if there is one and no reader answers. */
   #findSubstitute(readers: readonly Member[]): Member | undefined {
     const { clock, fleet } = this.#dependencies;
-    const known = this.#substitute;
-    if (!known || clock.now() - known.heardAt > SUBSTITUTE_LIFETIME_MS) return undefined;
+    const substituteId = this.#substitute.find(clock.now());
+    if (substituteId === undefined) return undefined;
     if (readers.some(({ id }) => this.#follower.isAnswering(id))) return undefined;
-    return fleet.membership.members.get(known.id);
+    return fleet.membership.members.get(substituteId);
   }
 
   #listFollowedReaders(): readonly FollowedReader[] {
@@ -372,7 +363,7 @@
       log,
       selfId,
       listFollowedReaders: () => this.#listFollowedReaders(),
-      getKnown: () => replica.requested,
+      getRequested: () => replica.requested,
       sendPoll: (body, { address }) => socket.send('poll', body, address),
       fetch: async (member, known) => this.#fetchChanges(member, known),
       onChanges: (changes) => this.#applyChanges(changes),
--- a/packages/gateway/src/record-sync/simulated-record-fleet.ts
+++ b/packages/gateway/src/record-sync/simulated-record-fleet.ts
@@ -58,7 +58,7 @@
   isCutFromStore: boolean;
 };
 
-type Watch = { readonly after: number; readonly finish: () => void };
+type Watch = { readonly finish: () => void };
 
 export class SimulatedRecordFleet {
   readonly daemons: readonly SimulatedDaemon[];
@@ -115,7 +115,7 @@
     return ranked.flatMap(({ address }) => this.#byAddress.get(address) ?? []);
   }
 
-  /** Writes a record that changes nothing but the revision; the store confirms it at once. */
+  /** Writes a record, which the store confirms at once; returns its revision. */
   publish(record: Omit<StoredRecord, 'revision'>): number {
     this.#revision += 1;
     const others = this.#records.filter(({ key }) => key !== record.key);
@@ -266,7 +266,7 @@
   ): Promise<SourceAnswer<StoreChanges | undefined>> {
     const timeoutMs = waitMs + STORE_TIMEOUT_GRACE_MS;
     await this.#connectToStore(from, timeoutMs);
-    if (this.#revision <= after) await this.#waitForChange(after, waitMs);
+    if (this.#revision <= after) await this.#waitForChange(waitMs);
     if (from.isDark || from.isCutFromStore || this.isStoreSilent) {
       await wait(timeoutMs);
       throw new Error('the store does not answer');
@@ -275,10 +275,9 @@
     return { era: ERA, changes: { records, revision: this.#revision, isWhole: false } };
   }
 
-  async #waitForChange(after: number, waitMs: number): Promise<void> {
+  async #waitForChange(waitMs: number): Promise<void> {
     await new Promise<void>((resolve) => {
       const watch: Watch = {
-        after,
         finish: () => {
           this.#watches = this.#watches.filter((one) => one !== watch);
           resolve();
