Share the scene of one gateway between tests of real processes

The tests of answers without end and of upstreams that leave each built a store, a gateway and a caller of their own.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -28,6 +28,8 @@
   GatewayProcess,
 } from './platform/gateway-process.js';
 export type { GatewayProcessSettings } from './platform/gateway-process.js';
+export { GatewayScene } from './platform/gateway-scene.js';
+export type { GatewaySceneSettings } from './platform/gateway-scene.js';
 export { PeerStandIn } from './platform/peer-stand-in.js';
 export type { PeerStandInSettings } from './platform/peer-stand-in.js';
 export { buildStoreConfiguration, buildStoreEntry } from './platform/store-records.js';
