Ask the seeds again at once while no other daemon is known

Cause: a daemon that starts before its seeds asked them again with its next round of gossip, 0.7 s later. If it is no seed itself, nobody knew it until then, and reports of crashes neither reached it nor left it.

Fix: a daemon that knows no other one asks its seeds every 100 ms for five seconds.

--- a/packages/gateway/src/fleet/fleet-links.test.ts
+++ b/packages/gateway/src/fleet/fleet-links.test.ts
@@ -1,6 +1,9 @@
 import type { Member, MemberState } from '@baobabline/core';
 import { expect } from 'chai';
+import { mock } from 'node:test';
+import { setImmediate as waitForEvents } from 'node:timers/promises';
 
+import { formatExchange } from '../datagrams/index.js';
 import { FleetLinks } from './fleet-links.js';
 import type { FleetLinksDependencies } from './fleet-links.js';
 
@@ -19,22 +22,31 @@
   };
 }
 
+function createLinks(changes: Partial<FleetLinksDependencies> = {}): FleetLinks {
+  return new FleetLinks({
+    clock: { now: () => 0 },
+    random: { next: () => 0 },
+    settings: {
+      id: '1',
+      dataCentre: 'z1',
+      callers: { address: '10.0.0.1', port: 2 },
+      peers: { address: '10.0.0.1', port: 1 },
+      machine: { cores: 1, memoryMb: 512 },
+      dispatchersPerDataCentre: 2,
+      seeds: [
+        { address: '10.0.0.2', port: 1 },
+        { address: '10.0.0.3', port: 1 },
+      ],
+    },
+    socket: { setHandler: () => undefined, send: () => undefined },
+    onSent: () => undefined,
+    ...changes,
+  } as unknown as FleetLinksDependencies);
+}
+
 describe("a daemon's links to the fleet", () => {
   it('report requests in flight also to a dispatcher that leaves, which still serves', () => {
-    const links = new FleetLinks({
-      clock: { now: () => 0 },
-      random: { next: () => 0 },
-      settings: {
-        id: '1',
-        dataCentre: 'z1',
-        callers: { address: '10.0.0.1', port: 2 },
-        peers: { address: '10.0.0.1', port: 1 },
-        machine: { cores: 1, memoryMb: 512 },
-        dispatchersPerDataCentre: 2,
-        seeds: [],
-      },
-      socket: { setHandler: () => undefined },
-    } as unknown as FleetLinksDependencies);
+    const links = createLinks();
     const listRecipients = (): readonly string[] =>
       links.listReportRecipients().map(({ id }) => id);
     links.membership.setOwnState('serving');
@@ -47,4 +59,29 @@
     links.membership.setOwnState('leaving');
     expect(listRecipients()).to.have.members(['2']);
   });
+
+  it('are not missing until the next round of gossip if it starts before its seeds', async () => {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval'] });
+    const seed = buildMember('2', 'serving');
+    const answersFrom = 3;
+    let calls = 0;
+    const send = async (): Promise<unknown> => {
+      calls += 1;
+      if (calls < answersFrom) throw new Error('connection refused');
+      const text = JSON.stringify(formatExchange({ from: seed, updates: [], versions: [] }));
+      return { status: 200, text };
+    };
+    const links = createLinks({ calls: { send } as unknown as FleetLinksDependencies['calls'] });
+    await links.join();
+    expect(links.membership.listPeers()).to.deep.equal([]);
+    mock.timers.tick(100);
+    await waitForEvents();
+    expect(links.membership.listPeers()).to.deep.equal([seed]);
+    const known = calls;
+    mock.timers.tick(1000);
+    await waitForEvents();
+    expect(calls).to.equal(known);
+    links.close();
+    mock.timers.reset();
+  });
 });
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -43,6 +43,10 @@
 const MAX_UPDATE_RECIPIENTS = 6;
 /** Enough for a joining daemon to know the readers, dispatchers and spares of other data centres. */
 const TOP_RANKED_PER_DATA_CENTRE = 6;
+/** While no other daemon is known, as in a fleet that starts whole, the seeds are asked again so soon. */
+const JOIN_RETRY_MS = 100;
+/** After these, gossip rounds go on asking. */
+const JOIN_RETRIES = 50;
 const CALL_TIMEOUT_MS = 700;
 const OK_STATUS = 200;
 
@@ -62,6 +66,10 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #joinTimer: NodeJS.Timeout | undefined;
+
+  #isClosed = false;
+
   #dataCentreByAddress: ReadonlyMap<string, string> = new Map();
 
   #mappedMemberCount = -1;
@@ -119,6 +127,12 @@
     }, GOSSIP_MS);
   }
 
+  /** Asks the seeds for the fleet. If no other daemon replies, goes on in the background. */
+  async join(): Promise<void> {
+    await this.gossip.join();
+    this.#scheduleJoin(JOIN_RETRIES);
+  }
+
   async announceState(state: 'serving' | 'leaving' | 'left'): Promise<void> {
     this.membership.setOwnState(state);
     await this.gossip.announce(state === 'serving' ? MAX_UPDATE_RECIPIENTS : MAX_STATE_RECIPIENTS);
@@ -226,7 +240,17 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     clearInterval(this.#timer);
+    clearTimeout(this.#joinTimer);
+  }
+
+  #scheduleJoin(retriesLeft: number): void {
+    if (this.#isClosed || retriesLeft === 0 || this.membership.listPeers().length > 0) return;
+    this.#joinTimer = setTimeout(() => {
+      const scheduleNext = (): void => this.#scheduleJoin(retriesLeft - 1);
+      this.gossip.join().then(scheduleNext, scheduleNext);
+    }, JOIN_RETRY_MS);
   }
 
   async #fetchMembers(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -222,7 +222,7 @@
     ]);
     this.#log.info('started', { sinceStartMs: Math.round(performance.now()) });
     this.#startTimers();
-    await Promise.race([this.#fleet.gossip.join(), wait(JOIN_TIMEOUT_MS)]);
+    await Promise.race([this.#fleet.join(), wait(JOIN_TIMEOUT_MS)]);
     this.#quarantine.start();
     this.#recordExchange.start();
     await this.#waitForConfiguration();
