Count ends against requests also where most upstreams cannot be reached

Cause: a daemon that reached less than half of its upstreams took its own links for lost and counted nothing, however often the same requests were found at such ends.

Fix: an upstream that refuses while most others cannot be reached has a common cause with them, which counts half, once in two seconds; a daemon counts nothing if no other upstream replies at all. A daemon that is cut off loses what is in flight once. What it cannot send afterwards was never evidence, so that three such losses of one request without a success in between are needed here as well.

Tests of crashes alone and of daemons that have lost their links hold as they were.

--- a/packages/gateway/src/upstream-ends/upstream-end-detector.ts
+++ b/packages/gateway/src/upstream-ends/upstream-end-detector.ts
@@ -4,8 +4,8 @@
  *
  * A lost connection alone says little: connections are reset, and a daemon can lose its own links. The
  * upstream has ended if it refuses a new connection while most other upstreams accept one. Ends of
- * several upstreams at the same moment have a common cause. It is no request as a rule, but several
- * requests that end upstreams may come together.
+ * several upstreams at the same moment have a common cause, and so has an end while most others cannot be
+ * reached. It is no request as a rule, but several requests that end upstreams may come together.
  */
 import type { Clock, RandomSource } from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
@@ -15,8 +15,8 @@
 
 /**
  * `ended`: the upstream has ended by itself or by a request. `common-cause`: it has ended together
- * with others. `alive`: it accepts connections. `unknown`: it does not reply, or this daemon cannot
- * reach most of the others either.
+ * with others, or most others cannot be reached either, though some reply. `alive`: it accepts
+ * connections. `unknown`: it does not reply, or none of the others does.
  */
 export type EndVerdict = 'ended' | 'common-cause' | 'alive' | 'unknown';
 
@@ -29,7 +29,7 @@
   readonly fingerprints: readonly string[];
   /** Requests of other daemons that were in flight there, as far as known. */
   readonly othersInFlight: number;
-  /** Whether other upstreams ended at the same moment with other requests. */
+  /** Whether it has a common cause with ends of other upstreams. */
   readonly hasCommonCause: boolean;
 };
 
@@ -54,6 +54,9 @@
   readonly callbacks: (() => void)[];
 };
 
+/** What an upstream that refuses connections is compared with. */
+type ControlVerdict = 'most-accept' | 'some-reply' | 'none-replies';
+
 /** Other upstreams to which a connection is opened, to find out whether this daemon reaches any. */
 const MAX_CONTROLS = 3;
 /** Replies that take longer count as none; a round trip within a region takes milliseconds. */
@@ -104,16 +107,18 @@
     this.#refusals = [...this.#refusals, investigation].filter(
       (one) => one.startedAt >= startedAt - COMMON_CAUSE_MS,
     );
-    this.#checkControls(state, (isConnected) => {
+    this.#checkControls(state, (controls) => {
       setTimeout(
-        () => this.#finish(investigation, isConnected ? this.#judgeEnd(investigation) : 'unknown'),
+        () => this.#finish(investigation, this.#judgeEnd(investigation, controls)),
         Math.max(0, startedAt + GATHER_MS - this.#dependencies.clock.now()),
       );
     });
   }
 
   /** Ends with the same request do not count: its retries may have caused them one after the other. */
-  #judgeEnd({ startedAt, fingerprints }: Investigation): EndVerdict {
+  #judgeEnd({ startedAt, fingerprints }: Investigation, controls: ControlVerdict): EndVerdict {
+    if (controls === 'none-replies') return 'unknown';
+    if (controls === 'some-reply') return 'common-cause';
     const others = this.#refusals.filter(
       (one) =>
         Math.abs(one.startedAt - startedAt) <= COMMON_CAUSE_MS &&
@@ -122,40 +127,49 @@
     return others.length + 1 >= MIN_COMMON_ENDS ? 'common-cause' : 'ended';
   }
 
-  /** Calls back with whether most of some other upstreams, drawn at random, accept a connection. */
-  #checkControls(suspect: UpstreamState, onDone: (isConnected: boolean) => void): void {
-    const controls = this.#drawControls(suspect);
+  /** Opens connections to some other upstreams, drawn at random, and calls back once. */
+  #checkControls(suspect: UpstreamState, onDone: (verdict: ControlVerdict) => void): void {
+    const { listUpstreams, listReachable } = this.#dependencies;
+    const count = listUpstreams().length;
+    // Without another upstream there is nothing to compare with.
+    if (count === 1) {
+      onDone('most-accept');
+      return;
+    }
+    const reachable = listReachable();
+    const controls = this.#drawControls(suspect, reachable);
+    const isMostReachable = reachable.length >= count / 2;
     const needed = Math.max(1, Math.ceil(controls.length / 2));
-    let open = 0;
-    let replies = 0;
+    let replies: readonly Reachability[] = [];
     let isDone = false;
     const finish = (): void => {
       if (isDone) return;
       isDone = true;
-      onDone(open >= needed);
+      const openCount = replies.filter((reply) => reply === 'open').length;
+      if (isMostReachable && openCount >= needed) onDone('most-accept');
+      else onDone(replies.some((reply) => reply !== 'silent') ? 'some-reply' : 'none-replies');
     };
-    const { listUpstreams, listReachable } = this.#dependencies;
-    const count = listUpstreams().length;
-    if (listReachable().length < count / 2 || controls.length === 0) {
-      // Without another upstream there is nothing to compare with.
-      onDone(count === 1);
-      return;
-    }
     setTimeout(finish, CONTROL_TIMEOUT_MS);
     controls.forEach(({ pool }) =>
-      pool.checkReachable((reachability) => {
-        replies += 1;
-        if (reachability === 'open') open += 1;
-        if (open >= needed || replies === controls.length) finish();
+      pool.checkReachable((reply) => {
+        replies = [...replies, reply];
+        const openCount = replies.filter((one) => one === 'open').length;
+        if (openCount >= needed || replies.length === controls.length) finish();
       }),
     );
   }
 
-  #drawControls(suspect: UpstreamState): readonly UpstreamState[] {
-    const { listReachable, random } = this.#dependencies;
+  /** Those that were reachable lately, or others if there are none. */
+  #drawControls(
+    suspect: UpstreamState,
+    reachable: readonly UpstreamState[],
+  ): readonly UpstreamState[] {
+    const { listUpstreams, random } = this.#dependencies;
     const refused = this.#refusals.map(({ state }) => state);
-    return listReachable()
-      .filter((state) => state !== suspect && !refused.includes(state))
+    const others = reachable.filter((state) => state !== suspect && !refused.includes(state));
+    const candidates =
+      others.length > 0 ? others : listUpstreams().filter((state) => state !== suspect);
+    return candidates
       .map((state) => ({ state, order: random.next() }))
       .sort((left, right) => left.order - right.order)
       .slice(0, MAX_CONTROLS)
