Add client accounts, their keys and download routes

Cause: configurations with `tenants`, `public` or a route of kind `download` were refused as a whole, so that no daemon of such a deployment ever became ready.

Change: routes may be downloads, which are repeatable, and public. A request is judged by its key when its head arrives, when its body is complete, and each time it is sent. Upstreams get the account's name from the daemon alone, and neither key nor name from the caller. Settings gain the bounds of revocation and quotas, and the VM's memory. Without accounts no message and no decision changes.

Not yet measured on a deployment.

--- a/packages/core/src/results/result-codes.ts
+++ b/packages/core/src/results/result-codes.ts
@@ -108,6 +108,13 @@
     outcome: 'not-run',
     title: 'The request headers did not come in time',
   },
+  unknownKey: {
+    code: 113,
+    name: 'unknown-key',
+    status: 401,
+    outcome: 'not-run',
+    title: 'The request bears no key of a client account',
+  },
   overPlanRate: {
     code: 200,
     name: 'over-plan-rate',
@@ -185,6 +192,20 @@
     outcome: 'not-run',
     title: 'Upstreams ended with this request in flight; it is quarantined for now',
   },
+  keysOutOfDate: {
+    code: 211,
+    name: 'keys-out-of-date',
+    status: 503,
+    outcome: 'not-run',
+    title: 'The daemon cannot tell whether the key is still valid',
+  },
+  overQuota: {
+    code: 212,
+    name: 'over-quota',
+    status: 429,
+    outcome: 'not-run',
+    title: 'The client account is over its quota',
+  },
   upstreamLost: {
     code: 300,
     name: 'upstream-lost',
--- a/packages/core/src/routes/route-table.ts
+++ b/packages/core/src/routes/route-table.ts
@@ -3,6 +3,7 @@
  * the request's path. A lookup takes at most one step per slash in the path, regardless of the
  * number of routes.
  */
+import { AccountTable } from '../accounts/index.js';
 import type { Route, RoutingConfiguration } from './types.js';
 
 const PORT_PATTERN = /:\d+$/;
@@ -20,10 +21,14 @@
 export class RouteTable {
   readonly configuration: RoutingConfiguration;
 
+  /** The accounts whose keys requests have to bear; undefined if requests need no key. */
+  readonly accounts: AccountTable | undefined;
+
   readonly #hosts = new Map<string, Map<string, Route>>();
 
   constructor(configuration: RoutingConfiguration) {
     this.configuration = configuration;
+    this.accounts = configuration.accounts && new AccountTable(configuration.accounts);
     configuration.routes.forEach((route) => this.#add(route));
   }
 
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod';
 
+import { clientAccountsSchema } from '../accounts/index.js';
 import {
   counterField,
   durationField,
@@ -11,11 +12,15 @@
   MAX_ROUTES,
   nameField,
   pathPrefixField,
+  priorityField,
   weightField,
 } from '../untrusted/index.js';
 
-/** `safe` requests may run more than once; `unsafe` and `upload` run at most once. */
-export const ROUTE_KINDS = ['safe', 'unsafe', 'upload'] as const;
+/**
+ * `safe` and `download` requests may run more than once; `unsafe` and `upload` run at most once. Uploads
+ * have large requests, downloads large answers.
+ */
+export const ROUTE_KINDS = ['safe', 'unsafe', 'upload', 'download'] as const;
 
 const routePartSchema = z.object({
   service: nameField,
@@ -39,7 +44,9 @@
   /** Most upstreams to which one request may be sent. */
   maxAttempts: z.int().min(1),
   /** 0 is the most urgent. */
-  priority: z.int().min(0),
+  priority: priorityField,
+  /** Whether requests need no key, although there are accounts. */
+  isPublic: z.boolean().optional(),
 });
 
 const callerLimitsSchema = z.object({
@@ -55,6 +62,11 @@
   version: counterField,
   routes: z.array(routeSchema).max(MAX_ROUTES),
   limits: callerLimitsSchema,
+  /**
+   * The client accounts whose keys requests have to bear; undefined if requests need no key. A daemon
+   * of an earlier version leaves them out.
+   */
+  accounts: clientAccountsSchema.optional(),
 });
 
 export type RouteKind = (typeof ROUTE_KINDS)[number];
@@ -62,3 +74,8 @@
 export type Route = Readonly<z.infer<typeof routeSchema>>;
 export type CallerLimits = Readonly<z.infer<typeof callerLimitsSchema>>;
 export type RoutingConfiguration = Readonly<z.infer<typeof routingConfigurationSchema>>;
+
+/** Whether a request of this kind may run more than once. */
+export function isRepeatableKind(kind: RouteKind): boolean {
+  return kind === 'safe' || kind === 'download';
+}
--- a/packages/core/src/untrusted/fields.ts
+++ b/packages/core/src/untrusted/fields.ts
@@ -22,12 +22,15 @@
 /** The latest time that a date can hold, in Unix milliseconds. */
 const MAX_DATE_MS = 8.64e15;
 const MAX_RATE = 1e9;
+const MAX_PRIORITY = 1_000_000;
 /** How often a store may come back from an older copy while a daemon runs. */
 export const MAX_ERAS = 1000;
 export const MAX_MEMBERS = 10_000;
 export const MAX_RECORDS = 200_000;
 export const MAX_ROUTES = 100_000;
 export const MAX_PARTS = 1000;
+export const MAX_ACCOUNTS = 100_000;
+export const MAX_KEYS_PER_ACCOUNT = 10_000;
 
 /**
  * Visible characters of Latin-1, in which headers are sent. Others would end the header, or be cut
@@ -62,6 +65,9 @@
 
 export const slotsField = z.int().min(1).max(MAX_SLOTS);
 
+/** Rank of a request among others; 0 is the most urgent. */
+export const priorityField = z.int().min(0).max(MAX_PRIORITY);
+
 export const weightField = z.number().min(0).max(MAX_WEIGHT);
 
 /** Milliseconds, cut to the longest time that a timer can wait. */
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -42,11 +42,17 @@
   readonly timeLeftMs: number;
   /** Id of the only upstream that may run the request. */
   readonly upstreamId: string;
+  /** Name of the client account whose key the request bore; undefined if it needs none. */
+  readonly accountName: string | undefined;
 };
 
 export interface HttpDialect {
   /** Names, in lower case, of headers that the gateway sets itself and never forwards. */
   readonly ownHeaders: ReadonlySet<string>;
+  /** The same, but only where the configuration has client accounts. */
+  readonly accountHeaders: ReadonlySet<string>;
+  /** The scheme of the `Authorization` header that carries a key, in lower case. */
+  readonly keyScheme: string;
   readCallerHead(headers: HeaderMap): CallerHead;
   readAnswerHead(status: number, headers: HeaderMap): AnswerHead;
   buildUpstreamHeaders(head: UpstreamHead): readonly HeaderPair[];
--- a/packages/gateway/src/edge/caller-close.test.ts
+++ b/packages/gateway/src/edge/caller-close.test.ts
@@ -11,6 +11,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { UNBOUNDED_KEY_VALIDITY } from '../caller-keys/index.js';
 import type { HttpDialect } from '../dialect/index.js';
 import { HeldBytes } from '../held-bytes/index.js';
 import type { RequestEnd, RoutedRequest } from '../requests/index.js';
@@ -46,6 +47,8 @@
 
 const dialect: HttpDialect = {
   ownHeaders: new Set(['x-id']),
+  accountHeaders: new Set(['authorization', 'x-account']),
+  keyScheme: 'bearer',
   readCallerHead: (headers) => ({
     requestId: headers['x-id'] as string | undefined,
     timeAllowedMs: 20_000,
@@ -134,6 +137,7 @@
       dialect,
       heldBytes: new HeldBytes(10_000),
       getRoutes: () => routes,
+      keyValidity: UNBOUNDED_KEY_VALIDITY,
       chooseService: () => 's',
       serve: (request, onEnd) => {
         served = [...served, request];
--- a/packages/gateway/src/edge/caller-server.test.ts
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -6,6 +6,7 @@
 import { createRefusal, RouteTable } from '@baobabline/core';
 import type { RoutingConfiguration } from '@baobabline/core';
 
+import { UNBOUNDED_KEY_VALIDITY } from '../caller-keys/index.js';
 import type { HttpDialect } from '../dialect/index.js';
 import { HeldBytes } from '../held-bytes/index.js';
 import type { RequestEnd, RoutedRequest } from '../requests/index.js';
@@ -34,6 +35,8 @@
 
 const dialect: HttpDialect = {
   ownHeaders: new Set(['x-id']),
+  accountHeaders: new Set(['authorization', 'x-account']),
+  keyScheme: 'bearer',
   readCallerHead: (headers) => ({
     requestId: headers['x-id'] as string | undefined,
     timeAllowedMs: 1000,
@@ -111,6 +114,7 @@
       dialect,
       heldBytes,
       getRoutes: () => routes,
+      keyValidity: UNBOUNDED_KEY_VALIDITY,
       chooseService: () => 's',
       serve: (request, onEnd) => {
         if (request.target === '/a/throws') throw new Error('it cannot be served');
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -3,7 +3,7 @@
  * with the limits of the configuration in force, and the connection is watched for a caller that
  * leaves. What is not plain HTTP, or could be read in two ways, is refused.
  */
-import { createRefusal, MAX_TIMER_MS } from '@baobabline/core';
+import { createRefusal, isRepeatableKind, MAX_TIMER_MS } from '@baobabline/core';
 import type { CallerLimits, Clock, RequestError, RouteTable } from '@baobabline/core';
 import { dropBody } from '@baobabline/daemon';
 import { createServer } from 'node:http';
@@ -11,6 +11,8 @@
 import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 
+import { checkKey } from '../caller-keys/index.js';
+import type { KeyCheck, KeyValidity } from '../caller-keys/index.js';
 import type { HttpDialect } from '../dialect/index.js';
 import type { HeldBytes } from '../held-bytes/index.js';
 import { readBody } from '../http/index.js';
@@ -30,6 +32,8 @@
   /** Accounts for the bodies of requests, and for answers that callers have not taken yet. */
   readonly heldBytes: HeldBytes;
   readonly getRoutes: () => RouteTable | undefined;
+  /** Whether this daemon may rely on the keys of client accounts that it knows. */
+  readonly keyValidity: KeyValidity;
   readonly chooseService: (route: RoutedRequest['route']) => string;
   readonly serve: (request: RoutedRequest, onEnd: (end: RequestEnd) => void) => ServedRequest;
   readonly onRefused: (error: RequestError, requestId: string, target: string) => void;
@@ -247,6 +251,8 @@
     if (route && !this.#mayTake(arrivedAt + Math.min(timeAllowedMs, route.timeoutMs))) {
       return createStopRefusal();
     }
+    const keyCheck = this.#checkKey(message);
+    if (keyCheck?.kind === 'refused') return keyCheck.error;
     return this.#ports.heldBytes.mayAcquire(readBodyLength(message))
       ? undefined
       : createNoRoomRefusal();
@@ -268,7 +274,13 @@
         this.#refuse(exchange, isTooLarge ? createRefusal('bodyTooLarge') : createNoRoomRefusal());
         return;
       }
-      const request = this.#buildRequest(exchange, body);
+      // The configuration may have changed while the body came in.
+      const keyCheck = this.#checkKey(message);
+      if (keyCheck?.kind === 'refused') {
+        this.#refuseInTurn(exchange, keyCheck.error);
+        return;
+      }
+      const request = this.#buildRequest(exchange, body, keyCheck?.caller);
       if (!request) this.#refuseInTurn(exchange, createRefusal('noRoute'));
       else if (!this.#mayTake(request.endAt)) this.#refuseInTurn(exchange, createStopRefusal());
       else this.#takeWhole(exchange, request);
@@ -305,7 +317,7 @@
     endings.push(() => {
       if (open.phase !== 'answering') open.served?.cancel();
     });
-    const mayOverlap = request.route.kind === 'safe';
+    const mayOverlap = isRepeatableKind(request.route.kind);
     let isLate = false;
     connection.pipeline.setReady(turn, mayOverlap, () => {
       // It was read behind an answer with which the connection would have ended.
@@ -315,24 +327,47 @@
     isLate = true;
   }
 
+  /** Judges a request by its key; undefined if no route matches it. */
+  #checkKey({ rawHeaders, headers, url = '' }: IncomingMessage): KeyCheck | undefined {
+    const { getRoutes, dialect, keyValidity } = this.#ports;
+    const routes = getRoutes();
+    const route = routes?.find(headers.host ?? '', url);
+    if (!routes || !route) return undefined;
+    return checkKey(rawHeaders, dialect.keyScheme, routes, route, keyValidity);
+  }
+
   #buildRequest(
     { id, message, arrivedAt, timeAllowedMs }: CallerExchange,
     body: Extract<BodyEnd, { readonly kind: 'whole' }>,
+    caller: RoutedRequest['caller'],
   ): RoutedRequest | undefined {
     const target = message.url ?? '';
-    const route = this.#ports.getRoutes()?.find(message.headers.host ?? '', target);
-    if (!route) return undefined;
-    const { ownHeaders } = this.#ports.dialect;
-    const dropped = new Set([...ownHeaders, 'content-length']);
+    const routes = this.#ports.getRoutes();
+    const route = routes?.find(message.headers.host ?? '', target);
+    if (!routes || !route) return undefined;
+    const { ownHeaders, accountHeaders } = this.#ports.dialect;
+    const dropped = new Set([
+      ...ownHeaders,
+      ...(routes.accounts ? accountHeaders : []),
+      'content-length',
+    ]);
     const callerEndAt = arrivedAt + timeAllowedMs;
     const method = message.method ?? 'GET';
     const headers = listOnwardHeaders(message.rawHeaders, dropped).flat();
     const bodyDigest = body.digest;
     return {
       id,
-      fingerprint: computeRequestFingerprint({ method, target, headers, bodyDigest }),
+      fingerprint: computeRequestFingerprint({
+        method,
+        target,
+        headers,
+        bodyDigest,
+        accountName: caller?.account.name,
+      }),
       route,
       service: this.#ports.chooseService(route),
+      caller,
+      priority: caller?.account.priority ?? route.priority,
       method,
       target,
       headers,
--- a/packages/gateway/src/edge/write-answer.ts
+++ b/packages/gateway/src/edge/write-answer.ts
@@ -12,6 +12,9 @@
 /** Set anew for the whole body that is at hand. */
 const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 const BODILESS_STATUSES: readonly number[] = [204, 304];
+const UNAUTHORIZED_STATUS = 401;
+/** Which credentials a request needs, as every 401 has to say (RFC 9110, 15.5.2). */
+const KEY_CHALLENGE = 'Bearer';
 const PROBLEM_TYPE = 'application/problem+json';
 
 function findHeader(headers: readonly string[], name: string): string | undefined {
@@ -44,6 +47,8 @@
     retryAfterSeconds === undefined || result.outcome !== 'not-run'
       ? []
       : ['Retry-After', retryAfterSeconds.toFixed(3)];
+  const challenge =
+    result.status === UNAUTHORIZED_STATUS ? ['WWW-Authenticate', KEY_CHALLENGE] : [];
   response.writeHead(result.status, [
     'Content-Type',
     PROBLEM_TYPE,
@@ -52,6 +57,7 @@
     'Baobabline-Refused',
     String(result.code),
     ...retryAfter,
+    ...challenge,
   ]);
   response.end(text);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type { Server } from 'node:http';
 import { setImmediate as waitForEvents, setTimeout as wait } from 'node:timers/promises';
 
+import { checkKeyAgain, UNBOUNDED_KEY_VALIDITY } from './caller-keys/index.js';
 import type {
   DirectoryResponse,
   DirectoryQuery,
@@ -400,6 +401,10 @@
       onUpstreamFailure: (upstreamId) => this.#linkMonitor.recordFailure(upstreamId),
       onLeaving: (upstream) => this.#log.info('upstream-leaving', { upstream }),
       onLoadChange: () => this.#reports.recordLoad(),
+      checkCaller: ({ caller }) => {
+        const { routes } = this.#services;
+        return routes && checkKeyAgain(caller, routes, UNBOUNDED_KEY_VALIDITY);
+      },
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
     });
@@ -491,6 +496,7 @@
       dialect: this.#platform.http,
       heldBytes: this.#heldBytes,
       getRoutes: () => this.#getRoutes(),
+      keyValidity: UNBOUNDED_KEY_VALIDITY,
       chooseService: (route) => this.#services.chooseService(route),
       serve: (request, onEnd) => this.#serve(request, onEnd),
       onRefused: (error, requestId, target) =>
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export { computeKeyDigest } from './caller-keys/index.js';
 export type * from './dialect/index.js';
 export { HttpClient } from './http/index.js';
 export type { HttpResponse } from './http/index.js';
--- a/packages/gateway/src/rate-limits/simulated-fleet.ts
+++ b/packages/gateway/src/rate-limits/simulated-fleet.ts
@@ -227,6 +227,7 @@
         times: daemon.times,
         crashGuard: NO_CRASH_GUARD,
         onLoadChange: () => undefined,
+        checkCaller: () => undefined,
         onBytes: () => undefined,
         onStep: () => undefined,
       },
--- a/packages/gateway/src/requests/request-fingerprint.ts
+++ b/packages/gateway/src/requests/request-fingerprint.ts
@@ -13,6 +13,8 @@
   readonly headers: readonly string[];
   /** Digest of the body; empty where there is none. */
   readonly bodyDigest: string;
+  /** The client account whose key it bore; undefined if it needs none. */
+  readonly accountName?: string | undefined;
 };
 
 /** Headers that say whose request it is. */
@@ -32,10 +34,12 @@
   target,
   headers,
   bodyDigest,
+  accountName,
 }: FingerprintedRequest): string {
   const identity = IDENTITY_HEADERS.map((name) => listValues(headers, name));
+  const account = accountName === undefined ? [] : [accountName];
   return createHash('sha256')
-    .update(JSON.stringify([method, target, identity, bodyDigest]))
+    .update(JSON.stringify([method, target, [...identity, ...account], bodyDigest]))
     .digest('base64url')
     .slice(0, FINGERPRINT_LENGTH);
 }
--- a/packages/gateway/src/requests/request-fixtures.ts
+++ b/packages/gateway/src/requests/request-fixtures.ts
@@ -23,6 +23,8 @@
 /** A dialect without headers. */
 export const PLAIN_DIALECT: HttpDialect = {
   ownHeaders: new Set(),
+  accountHeaders: new Set(),
+  keyScheme: 'bearer',
   readCallerHead: () => ({ requestId: undefined, timeAllowedMs: undefined }),
   readAnswerHead: () => ANSWER_HEAD,
   buildUpstreamHeaders: () => [],
@@ -90,6 +92,8 @@
     fingerprint: `fingerprint of ${id}`,
     route,
     service: 's',
+    caller: undefined,
+    priority: route.priority,
     method: 'GET',
     target: '/',
     headers: [],
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -141,6 +141,7 @@
         times: new AttemptTimes(),
         crashGuard: guard,
         onLoadChange: () => undefined,
+        checkCaller: () => undefined,
         onBytes: () => undefined,
         onStep: () => undefined,
       },
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -3,7 +3,7 @@
  * that is safe and the retry budget allows it. It ends by its deadline, with an answer or an error
  * that never says "not run" if an attempt may have run.
  */
-import { createRefusal, drawRetryAfterMs, MAX_TIMER_MS } from '@baobabline/core';
+import { createRefusal, drawRetryAfterMs, isRepeatableKind, MAX_TIMER_MS } from '@baobabline/core';
 import type {
   Clock,
   PlacementChoice,
@@ -30,6 +30,8 @@
   readonly onLoadChange: () => void;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
   readonly crashGuard: CrashGuard;
+  /** Returns why a request may no longer be sent; its key may have been removed while it waited. */
+  readonly checkCaller: (request: RoutedRequest) => RequestError | undefined;
   /** Called with the size of a request or an answer in bytes, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
 };
@@ -136,7 +138,7 @@
   }
 
   get #isRepeatable(): boolean {
-    return this.#request.route.kind === 'safe';
+    return isRepeatableKind(this.#request.route.kind);
   }
 
   get #now(): number {
@@ -154,7 +156,12 @@
   /** Places the request or refuses it for good; returns whether it needs no place in the queue. */
   #tryPlace(): boolean {
     if (this.#isDone) return true;
-    const { crashGuard } = this.#dependencies;
+    const { crashGuard, checkCaller } = this.#dependencies;
+    const invalidCaller = checkCaller(this.#request);
+    if (invalidCaller) {
+      this.#failWith(invalidCaller);
+      return true;
+    }
     const verdict = crashGuard.judge(this.#request.fingerprint);
     if (verdict.kind === 'refused') {
       this.#refuseQuarantined(verdict.retryAfterMs);
@@ -210,14 +217,14 @@
   }
 
   #buildWaiting(): QueuedRequest {
-    const { id, arrivedAt, endAt, route } = this.#request;
+    const { id, arrivedAt, endAt, priority, route } = this.#request;
     const usualAttemptMs = this.#dependencies.times.getMeanMs(route.id);
     return {
       id,
       arrivedAt,
       expectedAttemptMs: usualAttemptMs,
       isRetry: this.#tried.size > 0,
-      priority: route.priority,
+      priority,
       targetAt: arrivedAt + route.targetLatencyMs,
       latestSendAt: endAt - Math.max(MIN_ATTEMPT_MS, usualAttemptMs * SHORTEST_ATTEMPT_SHARE),
     };
@@ -270,6 +277,7 @@
       requestId: this.#request.id,
       timeLeftMs,
       upstreamId,
+      accountName: this.#request.caller?.account.name,
     });
     return buildRequestHead(this.#request, own);
   }
@@ -296,6 +304,7 @@
     if (this.#tried.size >= this.#request.route.maxAttempts) return;
     // A second attempt could end a second upstream before the first attempt shows that it does.
     if (this.#dependencies.crashGuard.isSuspect(this.#request.fingerprint)) return;
+    if (this.#dependencies.checkCaller(this.#request)) return;
     const choice = this.#scheduler.choose({
       isRepeatable: true,
       canTryAgain: false,
@@ -436,15 +445,18 @@
       | 'stopping' = 'upstreamsShed',
     retryAfterMs: number = this.#drawRetryAfterMs(),
   ): void {
+    this.#failWith(createRefusal(name, { retryAfterSeconds: retryAfterMs / MS_PER_SECOND }));
+  }
+
+  /** Ends the request with an error that says it did not run, unless an attempt may have run. */
+  #failWith(notRunError: RequestError): void {
     if (this.#isDone) return;
     this.#settle();
     if (this.#failedAnswer) {
       this.#onEnd({ kind: 'answered', ...this.#failedAnswer });
       return;
     }
-    const retryAfterSeconds = retryAfterMs / MS_PER_SECOND;
-    const error = this.#unknownError ?? createRefusal(name, { retryAfterSeconds });
-    this.#onEnd({ kind: 'refused', error });
+    this.#onEnd({ kind: 'refused', error: this.#unknownError ?? notRunError });
   }
 
   #drawRetryAfterMs(): number {
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -3,6 +3,7 @@
  */
 import type { RequestError, Route } from '@baobabline/core';
 
+import type { RequestAccount } from '../caller-keys/index.js';
 import type { UpstreamAnswer } from '../upstreams/index.js';
 
 /** A whole request of a caller, its route found and its limits kept. */
@@ -12,6 +13,10 @@
   readonly fingerprint: string;
   readonly route: Route;
   readonly service: string;
+  /** Whose request it is; undefined if it needs no key. */
+  readonly caller: RequestAccount | undefined;
+  /** That of the client account or, if it has none, of the route; 0 is the most urgent. */
+  readonly priority: number;
   readonly method: string;
   /** Request target as the caller sent it. */
   readonly target: string;
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -13,6 +13,7 @@
   RegisteredUpstream,
   RateLimitChange,
   Replica,
+  RequestError,
   Route,
   TrustChange,
   AttemptOutcome,
@@ -77,6 +78,8 @@
   /** Called once for each start of an upstream that states in an answer that it leaves. */
   readonly onLeaving: (upstreamId: string) => void;
   readonly onLoadChange: () => void;
+  /** Returns why a request may no longer be sent to an upstream. */
+  readonly checkCaller: (request: RoutedRequest) => RequestError | undefined;
   /** Called with the bytes of a request or an answer, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
 };
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -27,12 +27,24 @@
   stopGraceMs: z.number().positive().default(6000),
   /** Longest time for which callers may cache a directory response. */
   maxDirectoryHoldMs: z.number().positive().default(5000),
+  /** Whether a removed key must be refused everywhere within a time, in touch with the store or not. */
+  strictRevocation: z.boolean().default(false),
+  /** Time from the removal of a key until no request that bears it may be sent to an upstream. */
+  revocationMs: z.number().positive().default(5000),
+  /** Any span of this length counts for the quotas of client accounts. */
+  quotaWindowMs: z.number().positive().default(5000),
+  /** Share by which the requests of an account may exceed its quota within the window. */
+  quotaOvershoot: z.number().min(0).default(0),
+  /** Requests of an account that may come on top within the window. */
+  quotaSlack: z.number().min(0).default(0),
 });
 
 const machineSchema = z.strictObject({
   /** CPU cores that the daemon may use; may be fractional. */
   cores: z.number().positive().default(1),
   linkMegabitsPerSecond: z.number().positive().default(1000),
+  /** Memory that the process may use; undefined if the settings do not say. */
+  memoryMegabytes: z.number().positive().optional(),
 });
 
 export const gatewaySettingsSchema = z.strictObject({
--- a/packages/gateway/src/upstreams/upstream-connection.test.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.test.ts
@@ -9,6 +9,8 @@
 
 const dialect: HttpDialect = {
   ownHeaders: new Set(),
+  accountHeaders: new Set(),
+  keyScheme: 'bearer',
   readCallerHead: () => ({ requestId: undefined, timeAllowedMs: undefined }),
   readAnswerHead: (_status: number, headers: HeaderMap): AnswerHead => ({
     requestId: headers['x-id'] as string | undefined,
