Take no early answer that is cut during an upload, and no status above 599

Cause: operators of similar systems saw a part of an answer without a length passed on as whole, when an upstream answered during a long upload and reset the connection, and an answer with status 000. A connection that ended, not reset, during the upload kept its request until the deadline, since the probe for a reset waited behind the upload; and statuses from 600 on were passed on as answers.

Change: an answer without a length is invalid if its connection ends while the request is still being written, and so is a status above 599.

--- a/packages/gateway/src/upstreams/response-parser.ts
+++ b/packages/gateway/src/upstreams/response-parser.ts
@@ -60,6 +60,7 @@
 const HEADER_NAME_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 const HEADER_TEXT_PATTERN = /^[\t\x20-\x7e\x80-\xff]*$/;
 const LOWEST_STATUS = 100;
+const HIGHEST_STATUS = 599;
 
 /** Describes what of a head could not be sent on to a caller; undefined if all of it could. */
 function describeHeadFault({
@@ -67,7 +68,7 @@
   statusMessage,
   headers,
 }: LibraryHead): string | undefined {
-  if (statusCode < LOWEST_STATUS) return `status ${statusCode}`;
+  if (statusCode < LOWEST_STATUS || statusCode > HIGHEST_STATUS) return `status ${statusCode}`;
   if (!HEADER_TEXT_PATTERN.test(statusMessage)) return 'invalid character in the status text';
   const isValid = headers.every((text, index) =>
     (index % 2 === 0 ? HEADER_NAME_PATTERN : HEADER_TEXT_PATTERN).test(text),
--- a/packages/gateway/src/upstreams/upstream-connection.test.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.test.ts
@@ -250,6 +250,43 @@
     expect(new Set(ends)).to.deep.equal(new Set(['invalid']));
   });
 
+  /** Sends an upload that does not fit into the buffers of the connection, which nobody reads. */
+  async function sendUpload(connection: UpstreamConnection): Promise<ExchangeEnd> {
+    const body = [Buffer.alloc(32 * 1024 * 1024)];
+    const [size] = body.map(({ length }) => length);
+    const head = `POST /a HTTP/1.1\r\nHost: h\r\nx-id: a\r\nContent-Length: ${size}\r\n\r\n`;
+    return new Promise((resolve) => {
+      connection.send({ requestId: 'a', method: 'POST', head, body }, resolve);
+    });
+  }
+
+  [
+    { name: 'a reset', finish: (socket: Socket) => socket.resetAndDestroy() },
+    { name: 'an end', finish: (socket: Socket) => socket.end() },
+  ].forEach(({ name, finish }) =>
+    [false, true].forEach((isReadTogether) =>
+      it(`takes no early answer without a length for whole that ${name} cuts during the upload${isReadTogether ? ', read together' : ''}`, async () => {
+        script = (socket) => {
+          script = () => undefined;
+          socket.pause();
+          socket.write('HTTP/1.1 200 OK\r\nx-id: a\r\n\r\npart', () => {
+            finish(socket);
+            if (isReadTogether) setImmediate(() => runBusyLoop(30));
+          });
+        };
+        expect((await sendUpload(connect())).kind).to.equal('invalid');
+      }),
+    ),
+  );
+
+  ['000', '099', '600', '999', '20', '2OO', '0200', '-200', '101'].forEach((status) =>
+    it(`takes an answer with the status ${status} for none`, async () => {
+      script = (socket) =>
+        socket.end(`HTTP/1.1 ${status} OK\r\nx-id: a\r\nContent-Length: 2\r\n\r\nhi`);
+      expect((await sendRequest(connect(), 'a')).kind).not.to.equal('answered');
+    }),
+  );
+
   it('distinguishes a request that was never sent from one that may have run', async () => {
     script = (socket) => socket.destroy();
     expect((await sendRequest(connect(), 'r1')).kind).to.equal('lost');
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -342,6 +342,12 @@
       this.#handleDisconnect('connection ended');
       return;
     }
+    // An upstream that ends before it has taken the whole request resets the connection later, and
+    // what it sent without a length may be a part of its answer.
+    if (this.#socket.writableLength > 0) {
+      this.#handleDisconnect('connection ended while the request was being sent');
+      return;
+    }
     // Node.js reports a reset that arrives together with data as an end. Only a write reveals it.
     this.#socket.write(RESET_PROBE, (error) => {
       if (error) this.#handleDisconnect('connection reset');
