--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -33,7 +33,7 @@
 export { PeerStandIn } from './platform/peer-stand-in.js';
 export type { PeerStandInSettings } from './platform/peer-stand-in.js';
 export { buildStoreConfiguration, buildStoreEntry } from './platform/store-records.js';
-export type { PublishedRoute } from './platform/store-records.js';
+export type { PublishedAccount, PublishedRoute } from './platform/store-records.js';
 export { startStalls, startThrottle, StopLoad } from './platform/stop-load.js';
 export type { LoadFigures, LoadOutcome, StopLoadSettings } from './platform/stop-load.js';
 export { listCut, SCENE_HOST, StopScene, waitUntilMet } from './platform/stop-scene.js';
--- a/packages/stand-ins/src/platform/caller-connection.ts
+++ b/packages/stand-ins/src/platform/caller-connection.ts
@@ -13,6 +13,8 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly timeLimitMs: number;
+  /** The key of a client account; none is sent without it. */
+  readonly key?: string;
   readonly bodyBytes?: number;
   /** The body is sent in so many pieces, and so long apart. */
   readonly pieces?: number;
@@ -52,12 +54,13 @@
 const GRACE_MS = 1000;
 
 function formatHead(request: ConnectionRequest): string {
-  const { id, host, method, path, timeLimitMs, bodyBytes = 0, waitsForContinue } = request;
+  const { id, host, method, path, timeLimitMs, key, bodyBytes = 0, waitsForContinue } = request;
   return [
     `${method} ${path} HTTP/1.1`,
     `Host: ${host}`,
     `X-Request-Id: ${id}`,
     `X-Deadline-Ms: ${timeLimitMs}`,
+    ...(key === undefined ? [] : [`Authorization: Bearer ${key}`]),
     ...(method === 'POST' ? [`Content-Length: ${bodyBytes}`] : []),
     ...(waitsForContinue ? ['Expect: 100-continue'] : []),
   ]
--- a/packages/stand-ins/src/platform/gateway-process.ts
+++ b/packages/stand-ins/src/platform/gateway-process.ts
@@ -19,6 +19,8 @@
   readonly storePort: number;
   /** Seconds from SIGTERM until the platform would kill it. */
   readonly stopGraceSeconds: number;
+  /** Further bounds, as texts `name=value`. */
+  readonly bounds?: readonly string[];
   /** Arguments for Node itself. */
   readonly nodeArguments?: readonly string[];
   /** Receives what the process logs, in pieces; it is dropped where absent. */
@@ -38,15 +40,21 @@
 
 /** The settings file of a process, in the platform's format. */
 export function formatGatewaySettings(settings: GatewayProcessSettings): string {
-  const { id, dataCentre, address, seeds, storePort, stopGraceSeconds } = settings;
+  const { id, dataCentre, address, seeds, storePort, stopGraceSeconds, bounds = [] } = settings;
   const { internal, ...listen } = GATEWAY_PORTS;
+  const allBounds = [
+    `graceS=${stopGraceSeconds}`,
+    'retryBudgetRatio=0.2',
+    'retryBudgetSlack=640',
+    ...bounds,
+  ];
   const seedList = seeds.map((seed) => `"${seed}:${GATEWAY_PORTS.control}"`).join(', ');
   return [
     `nodeName = "${id}"`,
     `zone = "${dataCentre}"`,
     `internalPorts = [${internal}, ${internal + 5}]`,
     `seeds = [${seedList}]`,
-    `bounds = ["graceS=${stopGraceSeconds}", "retryBudgetRatio=0.2", "retryBudgetSlack=640"]`,
+    `bounds = [${allBounds.map((bound) => `"${bound}"`).join(', ')}]`,
     '[listenAddrs]',
     ...Object.entries(listen).map(([name, port]) => `${name} = "${address}:${port}"`),
     '[platform]',
--- a/packages/stand-ins/src/platform/instance-stand-in.ts
+++ b/packages/stand-ins/src/platform/instance-stand-in.ts
@@ -33,6 +33,10 @@
   readonly url: string;
   readonly bodyBytes: number;
   readonly deadlineMs: number;
+  /** The account that the gateway named; empty where it named none. */
+  readonly account: string;
+  /** Whether the request still bore credentials of its caller. */
+  readonly hasCredentials: boolean;
   readonly startedAt: number;
   /** What kept the instance from an answer as it should be. */
   readonly fault: InstanceFault | undefined;
@@ -184,6 +188,8 @@
       url: message.url ?? '',
       bodyBytes,
       deadlineMs: Number(readText(message, 'x-deadline-ms')),
+      account: readText(message, 'x-tenant-id'),
+      hasCredentials: message.headers.authorization !== undefined,
       startedAt: performance.now(),
       fault,
       endedAt: undefined,
--- a/packages/stand-ins/src/platform/store-records.ts
+++ b/packages/stand-ins/src/platform/store-records.ts
@@ -33,9 +33,20 @@
 
 export type PublishedRoute = {
   readonly prefix: string;
-  readonly kind: 'safe' | 'unsafe';
+  readonly kind: 'safe' | 'unsafe' | 'download';
   readonly service: string;
   readonly timeoutSeconds: number;
+  /** Whether requests need no key although the configuration has accounts. */
+  readonly isPublic?: boolean;
+};
+
+/** A client account, in the platform's words. */
+export type PublishedAccount = {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  readonly ratePerS?: number;
+  readonly burst?: number;
+  readonly priority?: number;
 };
 
 /** A configuration with the routes of one host. */
@@ -43,23 +54,27 @@
   version: number,
   host: string,
   routes: readonly PublishedRoute[],
+  accounts?: readonly PublishedAccount[],
 ): object {
+  const services = [...new Set(routes.map(({ service }) => service))];
   return {
     version: `r${version}`,
     limits: { maxHeaderBytes: 8192, maxBodyBytes: 100_000, headerTimeoutS: 2, idleTimeoutS: 10 },
     listeners: [
       {
         host,
-        rules: routes.map(({ prefix, kind, service, timeoutSeconds }) => ({
+        rules: routes.map(({ prefix, kind, service, timeoutSeconds, isPublic = false }) => ({
           name: prefix,
           kind,
           targetLatencyS: 0.5,
           priority: 1,
+          public: isPublic,
           match: { prefix },
           action: { service, timeoutS: timeoutSeconds, maxAttempts: 3 },
         })),
       },
     ],
-    clusters: [],
+    clusters: services.map((name) => ({ name, healthPath: '/health' })),
+    ...(accounts ? { tenants: accounts } : {}),
   };
 }
