Hold requests while a daemon starts, and tell callers when to try again

Cause: after the loss of all power daemons listen 300 to 400 ms before they have a configuration.

Change: a starting daemon holds requests until it can serve them, for up to 0.8 s and three tenths of the caller's time, in the first 1.5 s after its start. Who is refused nevertheless is told to come back after what is left of a usual start, spread out, instead of after a second.

--- a/packages/core/src/queueing/index.ts
+++ b/packages/core/src/queueing/index.ts
@@ -6,5 +6,6 @@
   checkAdmission,
 } from './admission.js';
 export type { RemainingTime, QueueState, AdmissionDecision } from './admission.js';
+export { drawStartupRetryMs } from './startup-retry.js';
 export { RequestQueue } from './request-queue.js';
 export type { QueuedRequest } from './request-queue.js';
--- a/packages/gateway/src/edge/caller-close.test.ts
+++ b/packages/gateway/src/edge/caller-close.test.ts
@@ -137,6 +137,8 @@
       dialect,
       heldBytes: new HeldBytes(10_000),
       getRoutes: () => routes,
+      canServe: () => true,
+      drawStartupRetryMs: () => 1000,
       keyValidity: UNBOUNDED_KEY_VALIDITY,
       chooseService: () => 's',
       serve: (request, onEnd) => {
--- a/packages/gateway/src/edge/caller-server.test.ts
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -114,6 +114,8 @@
       dialect,
       heldBytes,
       getRoutes: () => routes,
+      canServe: () => true,
+      drawStartupRetryMs: () => 1000,
       keyValidity: UNBOUNDED_KEY_VALIDITY,
       chooseService: () => 's',
       serve: (request, onEnd) => {
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -24,6 +24,7 @@
 import { countByPhase, OpenRequest } from './open-request.js';
 import type { CutRequest, RequestPhase } from './open-request.js';
 import type { PipelineTurn } from './pipeline.js';
+import { StartupHold } from './startup-hold.js';
 import { writeAnswer, writeRefusal } from './write-answer.js';
 
 export type CallerPorts = {
@@ -32,6 +33,10 @@
   /** Accounts for the bodies of requests, and for answers that callers have not taken yet. */
   readonly heldBytes: HeldBytes;
   readonly getRoutes: () => RouteTable | undefined;
+  /** Whether there are routes, and keys that this daemon can vouch for where requests need them. */
+  readonly canServe: () => boolean;
+  /** Draws the time after which callers try again while there are no routes, in milliseconds. */
+  readonly drawStartupRetryMs: () => number;
   /** Whether this daemon may rely on the keys of client accounts that it knows. */
   readonly keyValidity: KeyValidity;
   readonly chooseService: (route: RoutedRequest['route']) => string;
@@ -94,11 +99,17 @@
 
   readonly #exchanges = new Set<CallerExchange>();
 
+  readonly #startupHold: StartupHold;
+
   /** Set while the daemon stops. */
   #stopGate: StopGate | undefined;
 
   constructor(ports: CallerPorts) {
     this.#ports = ports;
+    this.#startupHold = new StartupHold({
+      clock: ports.clock,
+      canServe: () => this.#stopGate !== undefined || ports.canServe(),
+    });
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -203,6 +214,16 @@
       return;
     }
     const exchange = this.#addExchange(message, response, connection);
+    const isHeld = this.#startupHold.tryHold(exchange.timeAllowedMs, () =>
+      this.#runGuarded(response, () => {
+        if (this.#exchanges.has(exchange)) this.#admit(exchange);
+      }),
+    );
+    if (!isHeld) this.#admit(exchange);
+  }
+
+  #admit(exchange: CallerExchange): void {
+    if (exchange.open.phase === 'answering') return;
     const refusal = this.#checkRequest(exchange);
     if (refusal) this.#refuseInTurn(exchange, refusal);
     else this.#readWhole(exchange);
@@ -245,7 +266,7 @@
 
   #checkRequest({ message, arrivedAt, timeAllowedMs }: CallerExchange): RequestError | undefined {
     const routes = this.#ports.getRoutes();
-    const refusal = checkHead(message, routes);
+    const refusal = checkHead(message, routes, this.#ports.drawStartupRetryMs);
     if (refusal) return refusal;
     const route = routes?.find(message.headers.host ?? '', message.url ?? '');
     if (route && !this.#mayTake(arrivedAt + Math.min(timeAllowedMs, route.timeoutMs))) {
--- a/packages/gateway/src/edge/check-head.ts
+++ b/packages/gateway/src/edge/check-head.ts
@@ -8,6 +8,7 @@
 
 /** Overhead of a header line beside its name and value. */
 const HEADER_LINE_BYTES = 4;
+const MS_PER_SECOND = 1000;
 /** A token (RFC 9110, 5.6.2). Node's parser lets spaces pass, also before the colon. */
 const HEADER_NAME_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 
@@ -30,13 +31,19 @@
   return Number(message.headers['content-length'] ?? 0);
 }
 
-/** Returns why a request is refused by its head; undefined if it may be read. */
+/**
+ * Returns why a request is refused by its head; undefined if it may be read. `drawRetryMs` tells when
+ * to try again while there is no configuration.
+ */
 export function checkHead(
   message: IncomingMessage,
   routes: RouteTable | undefined,
+  drawRetryMs: () => number,
 ): RequestError | undefined {
   if (!hasValidHeaderNames(message)) return createRefusal('malformedRequest');
-  if (!routes) return createRefusal('notReady', { retryAfterSeconds: 1 });
+  if (!routes) {
+    return createRefusal('notReady', { retryAfterSeconds: drawRetryMs() / MS_PER_SECOND });
+  }
   const { maxHeaderBytes, maxBodyBytes } = routes.configuration.limits;
   if (countHeaderBytes(message) > maxHeaderBytes) return createRefusal('headersTooLarge');
   if (readBodyLength(message) > maxBodyBytes) return createRefusal('bodyTooLarge');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
   computeStopBounds,
   CUT_OFF_CAPACITY,
   DEFAULT_REPLICA_SETTINGS,
+  drawStartupRetryMs,
   PlannedStop,
   Replica,
 } from '@baobabline/core';
@@ -91,6 +92,8 @@
 
   readonly #clock = systemClock;
 
+  readonly #startedAt = this.#clock.now();
+
   readonly #random = createProcessRandom();
 
   readonly #log: Log;
@@ -106,6 +109,8 @@
 
   readonly #fleet: FleetLinks;
 
+  readonly #keyValidity = UNBOUNDED_KEY_VALIDITY;
+
   readonly #recordSource: RecordSource;
 
   readonly #recordExchange: RecordExchange;
@@ -403,7 +408,7 @@
       onLoadChange: () => this.#reports.recordLoad(),
       checkCaller: ({ caller }) => {
         const { routes } = this.#services;
-        return routes && checkKeyAgain(caller, routes, UNBOUNDED_KEY_VALIDITY);
+        return routes && checkKeyAgain(caller, routes, this.#keyValidity);
       },
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
@@ -496,7 +501,10 @@
       dialect: this.#platform.http,
       heldBytes: this.#heldBytes,
       getRoutes: () => this.#getRoutes(),
-      keyValidity: UNBOUNDED_KEY_VALIDITY,
+      canServe: () => this.#canServe(),
+      drawStartupRetryMs: () =>
+        drawStartupRetryMs(this.#clock.now() - this.#startedAt, this.#random),
+      keyValidity: this.#keyValidity,
       chooseService: (route) => this.#services.chooseService(route),
       serve: (request, onEnd) => this.#serve(request, onEnd),
       onRefused: (error, requestId, target) =>
@@ -506,6 +514,11 @@
     });
   }
 
+  #canServe(): boolean {
+    const routes = this.#getRoutes();
+    return routes !== undefined && (!routes.accounts || this.#keyValidity.mayAccept());
+  }
+
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     this.#advertisedLoad.recordArrival();
     return this.#services.serve(request, (end) => {
