Add the decisions of the key lease

Removed keys are to be refused everywhere within a bound, also on daemons that are cut off. core/key-lease holds the clock, the lease, the choice of whom to ask and the rounds of questions; Replica states where its configuration stands and whether it has another daemon's.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './ejection/index.js';
 export * from './entry-points/index.js';
 export * from './idempotency-keys/index.js';
+export * from './key-lease/index.js';
 export * from './replication/index.js';
 export * from './limits/index.js';
 export * from './lists/index.js';
--- /dev/null
+++ b/packages/core/src/key-lease/lease-renewal.ts
@@ -0,0 +1,232 @@
+/**
+ * Renews a daemon's key lease: takes in what its own calls to the store confirm, asks other daemons
+ * for the age of their leases, and answers them.
+ *
+ * Load patterns:
+ * - Hundreds of idle daemons need a lease at any moment. Each asks one reader, soon after that reader
+ *   expects to have heard from the store.
+ * - Datagrams are lost, late, or out of order. A lease begins when the question was sent less the age
+ *   in the answer, so that delay only shortens it, and each question is answered once at most.
+ * - The store is silent. Every daemon asks a few others twice a second and keeps to it, so that no
+ *   daemon is asked by all at the same time, and all have leases again soon after it is back.
+ */
+import type { Clock, RandomSource } from '../runtime/index.js';
+import type { ConfigurationPosition } from '../replication/index.js';
+import { chooseLeaseSources } from './choose-lease-sources.js';
+import type { KeyLease } from './key-lease.js';
+import type { LeaseAnswer, LeaseSource, LeaseSources } from './types.js';
+
+export type LeaseRenewalPorts = {
+  /** The clock of the lease. */
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly lease: KeyLease;
+  /** Whether callers send their requests to this daemon. */
+  readonly isDispatcher: () => boolean;
+  readonly listSources: () => LeaseSources;
+  /** The configuration in force; undefined if it needs no lease. */
+  readonly getConfiguration: () => ConfigurationPosition | undefined;
+  /** Whether this configuration or a newer one is in force. */
+  readonly hasConfiguration: (position: ConfigurationPosition) => boolean;
+  readonly send: (nonce: number, source: LeaseSource) => void;
+};
+
+/** An answer that did not count, since its configuration was newer than the one in force. */
+type DeferredAnswer = {
+  readonly startedAt: number;
+  readonly expectedAt: number;
+  readonly configuration: ConfigurationPosition;
+};
+
+const IDLE_INTERVAL_MS = 1000;
+const DISPATCHER_INTERVAL_MS = 500;
+/** Interval while less than half of the lease is left. */
+const SHORT_INTERVAL_MS = 250;
+const MIN_INTERVAL_MS = 200;
+/** Followers ask this long after a reader expects its confirmation, each at another moment. */
+const ANSWER_ROOM_MS = 20;
+const DISPATCHER_SPREAD_MS = 20;
+const IDLE_SPREAD_MS = 100;
+/** Time without a good answer after which the next round begins. */
+const ANSWER_TIMEOUT_MS = 200;
+/** Interval of rounds after several without a good answer. */
+const RETRY_INTERVAL_MS = 500;
+const MAX_QUICK_ROUNDS = 3;
+/** Later answers are ignored. */
+const QUESTION_LIFETIME_MS = 1000;
+/** Above the age of the lease of any daemon that is in touch with the store. */
+const GOOD_AGE_MS = 2000;
+/** A daemon that reads the store asks others if its own calls have confirmed nothing for this long. */
+const OWN_READ_MS = 1900;
+/** Below this, a lease that nobody renews is taken for lost. */
+const WEAK_LEASE_MS = 1500;
+/** Rounds without any answer, 1.6 s, after which a daemon reaches no other. */
+const ISOLATED_ROUNDS = 5;
+const ISOLATED_MS = 1000;
+/** Bounds of the time after which callers are told to try again while there is no lease. */
+const MIN_RETRY_AFTER_MS = 500;
+const MAX_RETRY_AFTER_MS = 2000;
+const NONCE_RANGE = 2 ** 32;
+
+export class LeaseRenewal {
+  readonly #ports: LeaseRenewalPorts;
+
+  readonly #questions = new Map<
+    number,
+    { readonly source: LeaseSource; readonly sentAt: number }
+  >();
+
+  #nextRoundAt = Number.NEGATIVE_INFINITY;
+
+  /** Rounds in a row without a good answer. */
+  #failedRounds = 0;
+
+  /** Whether a round was begun that has had no good answer. */
+  #isAsking = false;
+
+  #preferredId: string | undefined;
+
+  #deferred: DeferredAnswer | undefined;
+
+  #answeredAt = Number.NEGATIVE_INFINITY;
+
+  constructor(ports: LeaseRenewalPorts) {
+    this.#ports = ports;
+  }
+
+  /** Time until `runTick` has something to do, in milliseconds. */
+  get idleMs(): number {
+    return Math.max(0, this.#nextRoundAt - this.#ports.clock.now());
+  }
+
+  /**
+   * Whether the lease is lost, or nearly, for a reason that other daemons do not share: none answers,
+   * or one has a newer configuration, which does not reach this daemon. While the store is silent for
+   * all of them no daemon is better than another.
+   */
+  get isCutOff(): boolean {
+    const { lease, clock } = this.#ports;
+    if (lease.remainingMs >= WEAK_LEASE_MS) return false;
+    const isIsolated =
+      this.#failedRounds >= ISOLATED_ROUNDS && clock.now() - this.#answeredAt > ISOLATED_MS;
+    const newerAt = this.#deferred?.startedAt ?? Number.NEGATIVE_INFINITY;
+    return isIsolated || newerAt > lease.startedAt + GOOD_AGE_MS;
+  }
+
+  /**
+   * When a request that is refused for want of a lease may be accepted. A silence of the store that has
+   * lasted for some time is expected to last as long again.
+   */
+  get retryAfterMs(): number {
+    const { lease } = this.#ports;
+    if (lease.isValid) return this.idleMs + ANSWER_ROOM_MS;
+    const lostMs = lease.ageMs - lease.durationMs;
+    if (lostMs === Number.POSITIVE_INFINITY) return MIN_RETRY_AFTER_MS;
+    return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, lostMs));
+  }
+
+  /** Begins a round of questions if one is due. */
+  runTick(): void {
+    if (!this.#ports.getConfiguration()) return;
+    const now = this.#ports.clock.now();
+    this.#applyDeferred();
+    this.#expireQuestions(now);
+    if (now < this.#nextRoundAt) return;
+    this.#failedRounds = this.#isAsking ? this.#failedRounds + 1 : 0;
+    this.#isAsking = true;
+    this.#nextRoundAt = now + this.#computeTimeoutMs();
+    this.#ask(now);
+  }
+
+  /** Records that a call to the store, which began at `beganAt`, has shown what the store holds. */
+  recordRead(beganAt: number): void {
+    const now = this.#ports.clock.now();
+    // The next call begins now, and lasts about as long.
+    this.#ports.lease.recordConfirmation(beganAt, now + (now - beganAt));
+    this.#finishRound(beganAt + OWN_READ_MS);
+  }
+
+  /** Builds the answer to a question; undefined if this daemon has no lease to tell of. */
+  buildAnswer(nonce: number): LeaseAnswer | undefined {
+    const { lease, getConfiguration } = this.#ports;
+    const configuration = getConfiguration();
+    if (!configuration || lease.startedAt === Number.NEGATIVE_INFINITY) return undefined;
+    return { nonce, ageMs: lease.ageMs, renewsInMs: lease.renewsInMs, configuration };
+  }
+
+  /** Takes in an answer; one that nobody asked for, or that comes late, is ignored. */
+  handleAnswer({ nonce, ageMs, renewsInMs, configuration }: LeaseAnswer, address: string): void {
+    const now = this.#ports.clock.now();
+    this.#expireQuestions(now);
+    const question = this.#questions.get(nonce);
+    if (question?.source.address !== address) return;
+    this.#questions.delete(nonce);
+    this.#answeredAt = now;
+    const startedAt = question.sentAt - Math.max(0, ageMs);
+    const expectedAt = now + renewsInMs + ANSWER_ROOM_MS;
+    if (!this.#ports.hasConfiguration(configuration)) {
+      if (startedAt > (this.#deferred?.startedAt ?? Number.NEGATIVE_INFINITY)) {
+        this.#deferred = { startedAt, expectedAt, configuration };
+      }
+      return;
+    }
+    this.#ports.lease.recordConfirmation(startedAt, expectedAt);
+    if (ageMs > GOOD_AGE_MS) return;
+    this.#recordGoodSource(question.source);
+    this.#finishRound(this.#computeNextRoundAt(expectedAt));
+  }
+
+  /** An answer counts as soon as the configuration that it is about is in force. */
+  #applyDeferred(): void {
+    const deferred = this.#deferred;
+    if (!deferred || !this.#ports.hasConfiguration(deferred.configuration)) return;
+    this.#deferred = undefined;
+    this.#ports.lease.recordConfirmation(deferred.startedAt, deferred.expectedAt);
+    if (this.#ports.clock.now() - deferred.startedAt > GOOD_AGE_MS) return;
+    this.#finishRound(this.#computeNextRoundAt(deferred.expectedAt));
+  }
+
+  /** A reader of the own data centre is preferred to any other daemon. */
+  #recordGoodSource({ id }: LeaseSource): void {
+    const { nearReaders } = this.#ports.listSources();
+    const isReader = nearReaders.some((one) => one.id === id);
+    if (isReader || this.#isAsking) this.#preferredId = id;
+  }
+
+  #finishRound(nextRoundAt: number): void {
+    this.#isAsking = false;
+    this.#failedRounds = 0;
+    this.#nextRoundAt = Math.max(nextRoundAt, this.#ports.clock.now() + MIN_INTERVAL_MS);
+  }
+
+  #computeNextRoundAt(expectedAt: number): number {
+    const { clock, random, lease, isDispatcher } = this.#ports;
+    const [intervalMs, spreadMs] = isDispatcher()
+      ? [DISPATCHER_INTERVAL_MS, DISPATCHER_SPREAD_MS]
+      : [IDLE_INTERVAL_MS, IDLE_SPREAD_MS];
+    const isShort = lease.remainingMs < lease.durationMs / 2;
+    const longestMs = isShort ? SHORT_INTERVAL_MS : intervalMs;
+    return Math.min(expectedAt, clock.now() + longestMs) + random.next() * spreadMs;
+  }
+
+  #computeTimeoutMs(): number {
+    return this.#failedRounds < MAX_QUICK_ROUNDS ? ANSWER_TIMEOUT_MS : RETRY_INTERVAL_MS;
+  }
+
+  #ask(now: number): void {
+    const { listSources, random, send } = this.#ports;
+    chooseLeaseSources(listSources(), this.#failedRounds, this.#preferredId, random).forEach(
+      (source) => {
+        const nonce = Math.floor(random.next() * NONCE_RANGE);
+        this.#questions.set(nonce, { source, sentAt: now });
+        send(nonce, source);
+      },
+    );
+  }
+
+  #expireQuestions(now: number): void {
+    [...this.#questions]
+      .filter(([, { sentAt }]) => now - sentAt > QUESTION_LIFETIME_MS)
+      .forEach(([nonce]) => this.#questions.delete(nonce));
+  }
+}
--- a/packages/core/src/replication/eras.ts
+++ b/packages/core/src/replication/eras.ts
@@ -22,7 +22,7 @@
 export type EraStarts = KnownRevisions;
 
 /** Eras that are remembered; records that were read before the first one count as read in it. */
-const MAX_ERAS = 8;
+export const MAX_KNOWN_ERAS = 8;
 /** An era so far ahead of the known ones is no restore but a damaged value. */
 const MAX_ERA_STEP = 1000;
 
@@ -56,10 +56,19 @@
     if (known && known[1] <= revision) return false;
     this.#starts = [...this.#starts.filter(([one]) => one !== era), [era, revision] as const]
       .sort(([left], [right]) => right - left)
-      .slice(0, MAX_ERAS);
+      .slice(0, MAX_KNOWN_ERAS);
     return true;
   }
 
+  /** Whether these eras are known, with bounds that are as low; the first one's bound has no effect. */
+  hasAll(eras: EraStarts): boolean {
+    const hasEra = ([era, copyEnd]: EraStarts[number]): boolean =>
+      this.#starts.some(
+        ([one, bound]) => one === era && (bound <= copyEnd || this.findPrevious(era) === undefined),
+      );
+    return eras.every(hasEra);
+  }
+
   /** The era before; undefined for the first one that is known. */
   findPrevious(era: number): number | undefined {
     return this.#starts.find(([one]) => one < era)?.[0];
--- a/packages/core/src/replication/index.ts
+++ b/packages/core/src/replication/index.ts
@@ -11,10 +11,11 @@
 export type { KnownRevisions } from './known-revisions.js';
 export { DEFAULT_REPLICA_SETTINGS, Replica } from './replica.js';
 export type { EraChange, RecordConflict, ReplicaHandlers, ReplicaSettings } from './replica.js';
-export { StoreEras } from './eras.js';
+export { MAX_KNOWN_ERAS, StoreEras } from './eras.js';
 export type { EraStarts, StorePosition } from './eras.js';
 export { recordSchema, registeredUpstreamSchema } from './types.js';
 export type {
+  ConfigurationPosition,
   PublishedRecord,
   RecordChanges,
   RegisteredUpstream,
--- a/packages/core/src/replication/record-order.ts
+++ b/packages/core/src/replication/record-order.ts
@@ -6,6 +6,11 @@
 import type { StoreEras } from './eras.js';
 import type { PublishedRecord, RegisteredUpstream } from './types.js';
 
+/** A record as far as its order depends on it. */
+export type OrderedRecord = Pick<PublishedRecord, 'era' | 'revision' | 'upstream'> & {
+  readonly configuration?: { readonly version: number } | undefined;
+};
+
 /** Compares two starts of an upstream, or two states of one start, which never goes back to `ready`. */
 function compareUpstreams(left: RegisteredUpstream, right: RegisteredUpstream): number {
   const isDraining = ({ state }: RegisteredUpstream): number => Number(state === 'draining');
@@ -20,7 +25,7 @@
   }
 
   /** Whether a record is newer than the known one of its key. */
-  isNewer(record: PublishedRecord, known: PublishedRecord): boolean {
+  isNewer(record: OrderedRecord, known: OrderedRecord): boolean {
     const steps = known.configuration
       ? this.#listConfigurationSteps(record, known)
       : this.#listUpstreamSteps(record, known);
@@ -29,7 +34,7 @@
   }
 
   /** A later era comes first, then the version. A removal never ends the configuration in force. */
-  #listConfigurationSteps(record: PublishedRecord, known: PublishedRecord): readonly number[] {
+  #listConfigurationSteps(record: OrderedRecord, known: OrderedRecord): readonly number[] {
     if (!record.configuration || !known.configuration) return [-1];
     const versionStep = record.configuration.version - known.configuration.version;
     return this.#isOpen(record, known)
@@ -37,7 +42,7 @@
       : [this.#compareOrigins(record, known), versionStep];
   }
 
-  #listUpstreamSteps(record: PublishedRecord, known: PublishedRecord): readonly number[] {
+  #listUpstreamSteps(record: OrderedRecord, known: OrderedRecord): readonly number[] {
     const originStep = this.#compareOrigins(record, known);
     const hasUpstreams = record.upstream && known.upstream && this.#isOpen(record, known);
     return hasUpstreams
@@ -45,12 +50,12 @@
       : [originStep];
   }
 
-  #compareOrigins(left: PublishedRecord, right: PublishedRecord): number {
+  #compareOrigins(left: OrderedRecord, right: OrderedRecord): number {
     return this.#eras.computeOrigin(left) - this.#eras.computeOrigin(right);
   }
 
   /** Whether the record from the later era may or may not have come with the copy of that era. */
-  #isOpen(left: PublishedRecord, right: PublishedRecord): boolean {
+  #isOpen(left: OrderedRecord, right: OrderedRecord): boolean {
     return left.era !== right.era && this.#eras.mayBeCopied(left.era > right.era ? left : right);
   }
 }
--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -13,7 +13,13 @@
 import { RevisionLog } from './revision-log.js';
 import { StoreEras } from './eras.js';
 import type { EraStarts, StorePosition } from './eras.js';
-import type { PublishedRecord, RecordChanges, RegisteredUpstream, StoreChanges } from './types.js';
+import type {
+  ConfigurationPosition,
+  PublishedRecord,
+  RecordChanges,
+  RegisteredUpstream,
+  StoreChanges,
+} from './types.js';
 
 type Row = PublishedRecord & { readonly id: string; readonly removedAt?: number };
 
@@ -96,7 +102,8 @@
 
   #upstreams: readonly RegisteredUpstream[] | undefined;
 
-  #configuration: RoutingConfiguration | undefined;
+  /** The record of the configuration in force. */
+  #configured: (StorePosition & { readonly configuration: RoutingConfiguration }) | undefined;
 
   /** The last read of the whole store that showed which keys are missing, here or at a peer. */
   #completeAt: StorePosition | undefined;
@@ -169,7 +176,23 @@
 
   /** The newest routing configuration; a later era comes first, then the higher version. */
   get configuration(): RoutingConfiguration | undefined {
-    return this.#configuration;
+    return this.#configured?.configuration;
+  }
+
+  /** Where the configuration in force stands; undefined before the first one. */
+  get configurationPosition(): ConfigurationPosition | undefined {
+    if (!this.#configured) return undefined;
+    const { era, revision, configuration } = this.#configured;
+    return { era, revision, version: configuration.version, eras: this.#eras.list() };
+  }
+
+  /**
+   * Whether a configuration in force at another daemon would not replace the one in force here. It is
+   * open while that daemon knows more of the eras than this one.
+   */
+  hasConfiguration({ era, revision, version, eras }: ConfigurationPosition): boolean {
+    if (!this.#configured || !this.#eras.hasAll(eras)) return false;
+    return !this.#order.isNewer({ era, revision, configuration: { version } }, this.#configured);
   }
 
   listUpstreams(): readonly RegisteredUpstream[] {
@@ -440,7 +463,8 @@
     const { upstream, configuration } = content;
     this.#rows.put({ ...record, upstream, configuration, id: record.key, removedAt });
     this.#upstreams = undefined;
-    this.#configuration = configuration ?? this.#configuration;
+    if (configuration)
+      this.#configured = { era: record.era, revision: record.revision, configuration };
     this.#reportedRefusals.delete(record.key);
   }
 
--- a/packages/core/src/replication/types.ts
+++ b/packages/core/src/replication/types.ts
@@ -76,3 +76,10 @@
   /** Whether `records` is a snapshot of all records, so that keys missing from it were removed. */
   readonly isWhole: boolean;
 };
+
+/** Where the configuration in force at a daemon stands in the history of the store. */
+export type ConfigurationPosition = StorePosition & {
+  readonly version: number;
+  /** The eras that the daemon knows, with their bounds. */
+  readonly eras: EraStarts;
+};
