Wire the key lease into the gateway

Two datagrams renew leases; calls to the store state when they began; keys are accepted and rejected by the lease where the settings and the configuration call for it.

--- a/packages/core/src/key-lease/lease-renewal.ts
+++ b/packages/core/src/key-lease/lease-renewal.ts
@@ -42,11 +42,16 @@
 const DISPATCHER_INTERVAL_MS = 500;
 /** Interval while less than half of the lease is left. */
 const SHORT_INTERVAL_MS = 250;
-const MIN_INTERVAL_MS = 200;
-/** Followers ask this long after a reader expects its confirmation, each at another moment. */
-const ANSWER_ROOM_MS = 20;
+const MIN_INTERVAL_MS = 20;
+/** Interval while the answering daemon's own confirmation is overdue. */
+const OVERDUE_INTERVAL_MS = 200;
+/** Room for a call to the store that lasts a little longer than the one before. */
+const READ_ROOM_MS = 30;
+/** Time from a question to its answer, for callers that are told when to try again. */
+const ANSWER_MS = 20;
+/** Daemons that follow the same reader ask it within this time, each at another moment. */
 const DISPATCHER_SPREAD_MS = 20;
-const IDLE_SPREAD_MS = 100;
+const IDLE_SPREAD_MS = 60;
 /** Time without a good answer after which the next round begins. */
 const ANSWER_TIMEOUT_MS = 200;
 /** Interval of rounds after several without a good answer. */
@@ -119,7 +124,7 @@
    */
   get retryAfterMs(): number {
     const { lease } = this.#ports;
-    if (lease.isValid) return this.idleMs + ANSWER_ROOM_MS;
+    if (lease.isValid) return this.idleMs + ANSWER_MS;
     const lostMs = lease.ageMs - lease.durationMs;
     if (lostMs === Number.POSITIVE_INFINITY) return MIN_RETRY_AFTER_MS;
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, lostMs));
@@ -142,7 +147,7 @@
   recordRead(beganAt: number): void {
     const now = this.#ports.clock.now();
     // The next call begins now, and lasts about as long.
-    this.#ports.lease.recordConfirmation(beganAt, now + (now - beganAt));
+    this.#ports.lease.recordConfirmation(beganAt, now + (now - beganAt) + READ_ROOM_MS);
     this.#finishRound(beganAt + OWN_READ_MS);
   }
 
@@ -163,7 +168,7 @@
     this.#questions.delete(nonce);
     this.#answeredAt = now;
     const startedAt = question.sentAt - Math.max(0, ageMs);
-    const expectedAt = now + renewsInMs + ANSWER_ROOM_MS;
+    const expectedAt = now + (renewsInMs || OVERDUE_INTERVAL_MS);
     if (!this.#ports.hasConfiguration(configuration)) {
       if (startedAt > (this.#deferred?.startedAt ?? Number.NEGATIVE_INFINITY)) {
         this.#deferred = { startedAt, expectedAt, configuration };
--- a/packages/gateway/src/caller-keys/check-key.ts
+++ b/packages/gateway/src/caller-keys/check-key.ts
@@ -68,7 +68,7 @@
 /** Judges once more a request that is about to be sent; returns why it may not be. */
 export function checkKeyAgain(
   caller: RequestAccount | undefined,
-  { accounts }: RouteTable,
+  { accounts }: Pick<RouteTable, 'accounts'>,
   validity: KeyValidity,
 ): RequestError | undefined {
   if (!caller || !accounts) return undefined;
--- a/packages/gateway/src/datagrams/fleet-socket.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.ts
@@ -16,7 +16,9 @@
   | 'poll'
   | 'news'
   | 'rate-limits'
-  | 'crash-reports';
+  | 'crash-reports'
+  | 'lease-question'
+  | 'lease-answer';
 
 const TAGS: readonly DatagramTag[] = [
   'report',
@@ -28,6 +30,8 @@
   'news',
   'rate-limits',
   'crash-reports',
+  'lease-question',
+  'lease-answer',
 ];
 
 /** Handles a datagram's body and its sender's address; returns whether the body was valid. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,7 @@
 import type { Server } from 'node:http';
 import { setImmediate as waitForEvents, setTimeout as wait } from 'node:timers/promises';
 
-import { checkKeyAgain, UNBOUNDED_KEY_VALIDITY } from './caller-keys/index.js';
+import { checkKeyAgain } from './caller-keys/index.js';
 import type {
   DirectoryResponse,
   DirectoryQuery,
@@ -34,6 +34,7 @@
 import { FleetLinks, TrafficMeter } from './fleet/index.js';
 import type { TrafficPurpose } from './fleet/index.js';
 import { closeServer, HttpClient, listenOn } from './http/index.js';
+import { FleetKeyLease } from './key-lease/index.js';
 import { RecordExchange } from './record-sync/index.js';
 import { createMetricsServer, GatewayMetrics } from './metrics/index.js';
 import { createPeerServer } from './peers/index.js';
@@ -80,6 +81,8 @@
   news: 'records',
   'rate-limits': 'reports',
   'crash-reports': 'reports',
+  'lease-question': 'records',
+  'lease-answer': 'records',
 };
 
 export type GatewayPhase = 'joining' | 'serving' | 'leaving' | 'stopped';
@@ -108,6 +111,8 @@
 
   readonly #recordSource: RecordSource;
 
+  readonly #keyLease: FleetKeyLease;
+
   readonly #recordExchange: RecordExchange;
 
   readonly #reports: DispatcherReports;
@@ -158,6 +163,7 @@
     this.#heldBytes = new HeldBytes(settings.maxHeldBytes);
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
+    this.#keyLease = this.#createKeyLease();
     this.#recordExchange = this.#createRecordExchange();
     this.#reports = this.#createReports();
     this.#rateLimits = new FleetRateLimits({
@@ -321,6 +327,7 @@
     this.#rateLimits.stop();
     this.#quarantine.stop();
     this.#linkMonitor.stop();
+    this.#keyLease.stop();
     this.#fleetSocket.close();
     await Promise.all(this.#servers.map(closeServer));
     this.#fleet.close();
@@ -348,6 +355,7 @@
     this.#rateLimits.runTick();
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
+    this.#keyLease.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
   }
 
@@ -372,6 +380,7 @@
         getStoreEra: () => this.#replica.era ?? 0,
         isStoreUnavailable: () => this.#recordExchange.isStoreAway,
         isDispatcher: () => this.#fleet.isDispatcher,
+        getKeyLeaseAgeMs: () => this.#keyLease.ageMs,
         isCutOff: () => this.#linkMonitor.isCutOff,
         listTraffic: () => this.#traffic.list(),
       },
@@ -402,8 +411,8 @@
       onLeaving: (upstream) => this.#log.info('upstream-leaving', { upstream }),
       onLoadChange: () => this.#reports.recordLoad(),
       checkCaller: ({ caller }) => {
-        const { routes } = this.#services;
-        return routes && checkKeyAgain(caller, routes, UNBOUNDED_KEY_VALIDITY);
+        const accounts = this.#keyLease.findAccounts(this.#services.routes);
+        return accounts && checkKeyAgain(caller, accounts, this.#keyLease.validity);
       },
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
@@ -421,11 +430,36 @@
           reached,
           checked,
         });
-        this.#fleet.announceCapacity(isCutOff ? CUT_OFF_CAPACITY : undefined);
+        this.#announceCapacity();
       },
     });
   }
 
+  /** Both lost links to the upstreams and a lost key lease are reasons not to be named to callers. */
+  #announceCapacity(): void {
+    const isCutOff = this.#linkMonitor.isCutOff || this.#keyLease.isCutOff;
+    this.#fleet.announceCapacity(isCutOff ? CUT_OFF_CAPACITY : undefined);
+  }
+
+  #createKeyLease(): FleetKeyLease {
+    const { id, dataCentre, dispatchersPerDataCentre, bounds } = this.#settings;
+    return new FleetKeyLease({
+      clock: this.#clock,
+      getWallTime: () => Date.now(),
+      random: this.#random,
+      log: this.#log,
+      selfId: id,
+      dataCentre,
+      readerCount: dispatchersPerDataCentre,
+      isStrict: bounds.strictRevocation,
+      revocationMs: bounds.revocationMs,
+      replica: this.#replica,
+      fleet: this.#fleet,
+      socket: this.#fleetSocket,
+      onCutOffChange: () => this.#announceCapacity(),
+    });
+  }
+
   #createFleetSocket(): FleetSocket {
     const socket = new FleetSocket({
       port: this.#settings.reports.port,
@@ -463,6 +497,7 @@
       readerCount: this.#settings.dispatchersPerDataCentre,
       replica: this.#replica,
       source: this.#recordSource,
+      confirmations: this.#keyLease.confirmations,
       fleet: this.#fleet,
       socket: this.#fleetSocket,
       calls: this.#httpClient,
@@ -496,7 +531,7 @@
       dialect: this.#platform.http,
       heldBytes: this.#heldBytes,
       getRoutes: () => this.#getRoutes(),
-      keyValidity: UNBOUNDED_KEY_VALIDITY,
+      keyValidity: this.#keyLease.validity,
       chooseService: (route) => this.#services.chooseService(route),
       serve: (request, onEnd) => this.#serve(request, onEnd),
       onRefused: (error, requestId, target) =>
@@ -540,6 +575,7 @@
    * arrives before that, pending changes are applied first.
    */
   #handleRecordChange(): void {
+    this.#keyLease.runTick();
     this.#refreshTimer ??= setTimeout(
       () => this.#refreshServices(),
       this.#fleet.isDispatcher || !this.#services.routes ? 0 : IDLE_REFRESH_DELAY_MS,
--- /dev/null
+++ b/packages/gateway/src/key-lease/fleet-key-lease.ts
@@ -0,0 +1,215 @@
+/**
+ * A daemon's key lease: what its own calls to the store confirm, the questions and answers between
+ * daemons, and what follows for requests that bear keys. Without the setting for strict revocation, or
+ * without accounts, no question is sent and keys are accepted without bound.
+ */
+import {
+  AccountTable,
+  AgingClock,
+  computeKeyLeaseSettings,
+  KeyLease,
+  LeaseRenewal,
+} from '@baobabline/core';
+import type { Clock, LeaseSources, RandomSource, Replica, RouteTable } from '@baobabline/core';
+import type { Log } from '@baobabline/daemon';
+
+import { UNBOUNDED_KEY_VALIDITY } from '../caller-keys/index.js';
+import type { KeyValidity } from '../caller-keys/index.js';
+import type { FleetSocket } from '../datagrams/index.js';
+import type { FleetLinks } from '../fleet/index.js';
+import type { StoreConfirmations } from '../record-sync/index.js';
+import {
+  formatLeaseAnswer,
+  formatLeaseQuestion,
+  parseLeaseAnswer,
+  parseLeaseQuestion,
+} from './messages.js';
+
+export type FleetKeyLeaseDependencies = {
+  readonly clock: Clock;
+  /** Wall-clock time in milliseconds; it advances while the VM is suspended. */
+  readonly getWallTime: () => number;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly selfId: string;
+  readonly dataCentre: string;
+  /** Number of readers per data centre. */
+  readonly readerCount: number;
+  readonly isStrict: boolean;
+  readonly revocationMs: number;
+  readonly replica: Replica;
+  readonly fleet: Pick<FleetLinks, 'roles' | 'isDispatcher'>;
+  readonly socket: Pick<FleetSocket, 'setHandler' | 'send'>;
+  /** Called when the lease is lost or nearly, unlike those of other daemons, and when that ends. */
+  readonly onCutOffChange: () => void;
+};
+
+/** Bounds of the time until the next look whether a round is due. */
+const MIN_TIMER_MS = 5;
+const MAX_TIMER_MS = 200;
+
+type Accounts = Pick<RouteTable, 'accounts'>;
+
+export class FleetKeyLease {
+  /** Whether this daemon may rely on the keys that it knows. */
+  readonly validity: KeyValidity;
+
+  readonly #dependencies: FleetKeyLeaseDependencies;
+
+  readonly #clock: AgingClock;
+
+  readonly #lease: KeyLease;
+
+  readonly #renewal: LeaseRenewal;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #isStopped = false;
+
+  /** Whether the lease was valid at the last look; undefined before the first one. */
+  #wasValid: boolean | undefined;
+
+  #isCutOff = false;
+
+  /** When the lease was last seen to end. */
+  #endedAt = 0;
+
+  #pendingAccounts: { readonly accounts: Accounts; readonly configuration: unknown } | undefined;
+
+  constructor(dependencies: FleetKeyLeaseDependencies) {
+    this.#dependencies = dependencies;
+    const { clock, getWallTime, revocationMs, socket } = dependencies;
+    this.#clock = new AgingClock(clock, getWallTime);
+    this.#lease = new KeyLease(computeKeyLeaseSettings(revocationMs), this.#clock);
+    this.#renewal = this.#createRenewal();
+    this.validity = dependencies.isStrict ? this.#createValidity() : UNBOUNDED_KEY_VALIDITY;
+    socket.setHandler('lease-question', (body, sender) => {
+      const nonce = parseLeaseQuestion(body);
+      if (nonce !== undefined) this.#answer(nonce, sender);
+      return nonce !== undefined;
+    });
+    socket.setHandler('lease-answer', (body, sender) => {
+      const answer = parseLeaseAnswer(body);
+      if (answer && this.isNeeded) this.#renewal.handleAnswer(answer, sender);
+      return answer !== undefined;
+    });
+  }
+
+  /** Whether keys are accepted under a lease: the settings and the configuration call for it. */
+  get isNeeded(): boolean {
+    const { isStrict, replica } = this.#dependencies;
+    return isStrict && replica.configuration?.accounts !== undefined;
+  }
+
+  /** Age of the lease in milliseconds; 0 if none is needed. */
+  get ageMs(): number {
+    return this.isNeeded ? this.#lease.ageMs : 0;
+  }
+
+  /** Whether other daemons should be named to callers in the place of this one. */
+  get isCutOff(): boolean {
+    return this.#isCutOff;
+  }
+
+  /** Takes in when the calls of this daemon to the store began. */
+  get confirmations(): StoreConfirmations {
+    return {
+      now: this.#clock.now,
+      recordRead: (beganAt) => this.#renewal.recordRead(beganAt),
+    };
+  }
+
+  /**
+   * The accounts by which a waiting request is checked. The lease is about the newest configuration
+   * known; a daemon that is not a dispatcher puts its routes in use some time later.
+   */
+  findAccounts(routes: RouteTable | undefined): Accounts | undefined {
+    const { isStrict, replica } = this.#dependencies;
+    const { configuration } = replica;
+    if (!isStrict || !routes || !configuration) return routes;
+    if (configuration === routes.configuration) return routes;
+    if (this.#pendingAccounts?.configuration !== configuration) {
+      const accounts = configuration.accounts && new AccountTable(configuration.accounts);
+      this.#pendingAccounts = { accounts: { accounts }, configuration };
+    }
+    return this.#pendingAccounts?.accounts;
+  }
+
+  /** Asks if a question is due; to be called regularly and after each change of the records. */
+  readonly runTick = (): void => {
+    clearTimeout(this.#timer);
+    if (this.#isStopped) return;
+    if (this.isNeeded) {
+      this.#renewal.runTick();
+      const delayMs = Math.min(MAX_TIMER_MS, Math.max(MIN_TIMER_MS, this.#renewal.idleMs));
+      this.#timer = setTimeout(this.runTick, delayMs);
+    }
+    this.#recordChanges();
+  };
+
+  stop(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+  }
+
+  #recordChanges(): void {
+    const { log, onCutOffChange } = this.#dependencies;
+    const { isNeeded } = this;
+    const isValid = !isNeeded || this.#lease.isValid;
+    if (this.#wasValid === true && !isValid) {
+      this.#endedAt = this.#clock.now();
+      log.warn('key-lease-ended', { ageMs: Math.round(this.#lease.ageMs) });
+    }
+    if (this.#wasValid === false && isValid) {
+      log.info('key-lease-back', { afterMs: Math.round(this.#clock.now() - this.#endedAt) });
+    }
+    this.#wasValid = isValid;
+    const isCutOff = isNeeded && this.#renewal.isCutOff;
+    if (isCutOff === this.#isCutOff) return;
+    this.#isCutOff = isCutOff;
+    onCutOffChange();
+  }
+
+  #createValidity(): KeyValidity {
+    return {
+      mayAccept: () => this.#lease.isValid,
+      mayReject: () => this.#lease.isFresh,
+      getRetryAfterMs: () => this.#renewal.retryAfterMs,
+    };
+  }
+
+  #answer(nonce: number, sender: string): void {
+    const answer = this.#renewal.buildAnswer(nonce);
+    if (!answer) return;
+    this.#dependencies.socket.send('lease-answer', formatLeaseAnswer(answer), sender);
+  }
+
+  #listSources(): LeaseSources {
+    const { fleet, dataCentre, selfId, readerCount } = this.#dependencies;
+    const { roles } = fleet;
+    const ranked = roles.listRankedDaemons(dataCentre);
+    const isOther = ({ id }: { readonly id: string }): boolean => id !== selfId;
+    return {
+      nearReaders: ranked.slice(0, readerCount).filter(isOther),
+      nearOthers: ranked.slice(readerCount).filter(isOther),
+      farReaders: roles
+        .listTopRanked(readerCount)
+        .filter((member) => member.dataCentre !== dataCentre),
+    };
+  }
+
+  #createRenewal(): LeaseRenewal {
+    const { random, replica, fleet, socket } = this.#dependencies;
+    return new LeaseRenewal({
+      clock: this.#clock,
+      random,
+      lease: this.#lease,
+      isDispatcher: () => fleet.isDispatcher,
+      listSources: () => this.#listSources(),
+      getConfiguration: () => (this.isNeeded ? replica.configurationPosition : undefined),
+      hasConfiguration: (position) => replica.hasConfiguration(position),
+      send: (nonce, { address }) =>
+        socket.send('lease-question', formatLeaseQuestion(nonce), address),
+    });
+  }
+}
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -37,6 +37,8 @@
   readonly getStoreEra: () => number;
   readonly isStoreUnavailable: () => boolean;
   readonly isDispatcher: () => boolean;
+  /** Age of the key lease; 0 if none is needed, Infinity before the first one. */
+  readonly getKeyLeaseAgeMs: () => number;
   /** Whether this daemon reaches hardly any upstream. */
   readonly isCutOff: () => boolean;
   readonly listTraffic: () => readonly TrafficRow[];
@@ -44,6 +46,7 @@
 
 const CONDITIONS: readonly UpstreamCondition[] = ['trusted', 'suspect', 'unreachable', 'leaving'];
 const MICROSECONDS_PER_SECOND = 1e6;
+const MS_PER_SECOND = 1000;
 
 export class MetricsRegistry {
   readonly registry = new Registry();
@@ -151,6 +154,11 @@
       '1 while this daemon reaches hardly any upstream',
       () => Number(source.isCutOff()),
     );
+    this.#registerGauge(
+      'baobabline_key_lease_age_seconds',
+      'Time since the keys were last known to be those of the store; 0 where keys need no lease',
+      () => source.getKeyLeaseAgeMs() / MS_PER_SECOND,
+    );
     this.#registerProcess();
     EXCEPTION_ORIGINS.forEach((origin) => this.exceptions.inc({ origin }, 0));
   }
--- a/packages/gateway/src/record-sync/index.ts
+++ b/packages/gateway/src/record-sync/index.ts
@@ -1,2 +1,3 @@
 export { RecordExchange } from './record-exchange.js';
 export { StoreReader } from './store-reader.js';
+export type { StoreConfirmations } from './store-reader.js';
--- a/packages/gateway/src/record-sync/record-exchange.ts
+++ b/packages/gateway/src/record-sync/record-exchange.ts
@@ -33,6 +33,7 @@
 import { ReaderSubstitute } from './reader-substitute.js';
 import { RecordFeed } from './record-feed.js';
 import { StoreReader } from './store-reader.js';
+import type { StoreConfirmations } from './store-reader.js';
 
 export type RecordExchangeDependencies = {
   readonly clock: Clock;
@@ -44,6 +45,7 @@
   readonly readerCount: number;
   readonly replica: Replica;
   readonly source: RecordSource;
+  readonly confirmations: StoreConfirmations;
   readonly fleet: Pick<
     FleetLinks,
     'roles' | 'membership' | 'isNear' | 'recordHeard' | 'recordLost'
@@ -325,13 +327,14 @@
   }
 
   #createReader(): StoreReader {
-    const { clock, random, log, replica, source, onChanged } = this.#dependencies;
+    const { clock, random, log, replica, source, confirmations, onChanged } = this.#dependencies;
     return new StoreReader({
       clock,
       random,
       log,
       replica,
       source,
+      confirmations,
       shouldRead: () => this.#shouldRead(),
       getIdleMs: () => this.#getIdleMs(),
       onCall: () => this.#handleCall(),
--- a/packages/gateway/src/record-sync/simulated-record-fleet.ts
+++ b/packages/gateway/src/record-sync/simulated-record-fleet.ts
@@ -183,6 +183,7 @@
         watch: async (after, waitMs) => this.#watch(find(), after, waitMs),
         close: () => undefined,
       },
+      confirmations: { now: () => this.#now, recordRead: () => undefined },
       fleet: {
         roles,
         membership,
--- a/packages/gateway/src/record-sync/store-reader.test.ts
+++ b/packages/gateway/src/record-sync/store-reader.test.ts
@@ -81,6 +81,8 @@
   let reader: StoreReader;
   let isReader = true;
   let events: string[] = [];
+  /** When the calls began that confirmed what the store holds. */
+  let confirmed: readonly number[] = [];
   /** Time of the reader's clock; the grace period ends only when a test advances it. */
   let now = 0;
 
@@ -111,6 +113,12 @@
       },
       replica: read,
       source,
+      confirmations: {
+        now: () => now,
+        recordRead: (beganAt) => {
+          confirmed = [...confirmed, beganAt];
+        },
+      },
       shouldRead: () => isReader,
       getIdleMs: () => Number.POSITIVE_INFINITY,
       onCall: () => undefined,
@@ -127,6 +135,7 @@
     replica = new Replica();
     isReader = true;
     events = [];
+    confirmed = [];
     now = 0;
     reader = createReader(replica);
     reader.start();
--- a/packages/gateway/src/record-sync/store-reader.ts
+++ b/packages/gateway/src/record-sync/store-reader.ts
@@ -10,12 +10,24 @@
 
 import type { RecordSource } from '../dialect/index.js';
 
+/** Takes in what calls to the store have confirmed. */
+export interface StoreConfirmations {
+  /** The time by which the age of a confirmation is measured, in milliseconds. */
+  now(): number;
+  /**
+   * Records that a call has shown all that the store held when the call began. The answer to a watch
+   * may be older than its arrival.
+   */
+  recordRead(beganAt: number): void;
+}
+
 export type StoreReaderDependencies = {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: Log;
   readonly replica: Replica;
   readonly source: RecordSource;
+  readonly confirmations: StoreConfirmations;
   /** Whether this daemon should read now. */
   readonly shouldRead: () => boolean;
   /** Longest time until `shouldRead` may change, in milliseconds. */
@@ -113,7 +125,8 @@
     }
     try {
       this.#dependencies.onCall();
-      await (this.#shouldReadAll() ? this.#readAll() : this.#watch());
+      const beganAt = this.#dependencies.confirmations.now();
+      await (this.#shouldReadAll() ? this.#readAll(beganAt) : this.#watch(beganAt));
       this.#recordSuccess();
     } catch (error) {
       this.#recordFailure(error as Error);
@@ -138,8 +151,8 @@
     return this.#needsFullRead || era !== this.#readEra || boundChanges !== this.#readBoundChanges;
   }
 
-  async #readAll(): Promise<void> {
-    const { replica, source, clock, onChanged } = this.#dependencies;
+  async #readAll(beganAt: number): Promise<void> {
+    const { replica, source, clock, confirmations, onChanged } = this.#dependencies;
     const { era: statedEra, changes } = await source.readAll();
     const now = clock.now();
     const era = this.#checkEra(statedEra);
@@ -152,13 +165,14 @@
     this.#isFirstWatch = false;
     this.#readEra = era;
     this.#readBoundChanges = replica.boundChanges;
+    confirmations.recordRead(beganAt);
     onChanged();
     this.#recordSuccess();
     if (isInGrace) await wait(Math.min(GRACE_READ_MS, graceUntil - now));
   }
 
-  async #watch(): Promise<void> {
-    const { replica, source, clock, log, onChanged } = this.#dependencies;
+  async #watch(beganAt: number): Promise<void> {
+    const { replica, source, clock, log, confirmations, onChanged } = this.#dependencies;
     const { era: askedEra, revision } = replica;
     // A removal that a read of the whole store has shown stands between two of its revisions.
     const waitMs = this.#isFirstWatch ? FIRST_WATCH_MS : WATCH_MS;
@@ -175,6 +189,7 @@
     }
     this.#historyLosses = 0;
     const changedRecords = replica.applyStoreChanges(era, changes, clock.now());
+    confirmations.recordRead(beganAt);
     if (changedRecords.length === 0) return;
     onChanged();
     this.#recordSuccess();
