--- a/packages/core/src/key-lease/simulated-lease-fleet.ts
+++ b/packages/core/src/key-lease/simulated-lease-fleet.ts
@@ -46,6 +46,8 @@
   /** Daemons of different groups do not reach each other. */
   group: number;
   isSuspended: boolean;
+  /** Whether datagrams that arrive while it is suspended are lost, as those of a VM are. */
+  isDeaf: boolean;
   /** By how much its clocks differ from the time of the simulation. */
   monotonicOffset: number;
   wallOffset: number;
@@ -104,7 +106,7 @@
   /** Suspends a VM, whose monotonic clock then stands still, or stops a process, whose does not. */
   freeze(daemon: SimulatedLeaseDaemon, ms: number, stopsClock = true): void {
     if (daemon.isSuspended) return;
-    Object.assign(daemon, { isSuspended: true });
+    Object.assign(daemon, { isSuspended: true, isDeaf: stopsClock });
     this.#schedule(ms, () => {
       if (stopsClock) Object.assign(daemon, { monotonicOffset: daemon.monotonicOffset - ms });
       Object.assign(daemon, { isSuspended: false });
@@ -215,7 +217,10 @@
     if (from.group !== to.group || this.#random.next() < lossProbability) return;
     const isLate = this.#random.next() < lateProbability;
     const delayMs = this.#random.next() * (isLate ? MAX_LATE_MS : MAX_DELAY_MS);
-    this.#scheduleAt(to, delayMs, run);
+    this.#schedule(delayMs, () => {
+      if (!to.isSuspended) run();
+      else if (!to.isDeaf) this.#scheduleAt(to, STEP_MS, run);
+    });
   }
 
   #ask(fromId: string, nonce: number, toId: string): void {
@@ -256,6 +261,7 @@
       isCutFromStore: false,
       group: 0,
       isSuspended: false,
+      isDeaf: false,
       monotonicOffset: 0,
       wallOffset: 0,
       isReading: false,
