--- a/packages/core/src/replication/replica.test.ts
+++ b/packages/core/src/replication/replica.test.ts
@@ -54,6 +54,37 @@
     expect(replica.configuration?.version).to.equal(8);
   });
 
+  it('has the configuration of another daemon unless that would replace its own', () => {
+    const key = 'op/config';
+    const build = (version: number, era: number, revision: number, copyEnd = 0): Replica => {
+      const replica = new Replica();
+      replica.recordEras(
+        era > 1
+          ? [
+              [era, copyEnd],
+              [1, 1],
+            ]
+          : [[1, 1]],
+        0,
+      );
+      const records = [{ key, revision, configuration: buildConfiguration(version) }];
+      replica.applyStoreChanges(era, { records, revision, isWhole: false }, 0);
+      return replica;
+    };
+    const isHeld = (own: Replica, other: Replica): boolean => {
+      const { configurationPosition } = other;
+      return configurationPosition !== undefined && own.hasConfiguration(configurationPosition);
+    };
+    const seven = build(7, 1, 30);
+    expect(isHeld(seven, build(7, 1, 30)), 'the same').to.equal(true);
+    expect(isHeld(seven, build(6, 1, 20)), 'an older one').to.equal(true);
+    expect(isHeld(seven, build(8, 1, 40)), 'a newer one').to.equal(false);
+    expect(isHeld(seven, build(5, 2, 40, 20)), 'of an era that is unknown here').to.equal(false);
+    expect(isHeld(build(5, 2, 40, 20), seven), 'of an earlier era').to.equal(true);
+    expect(isHeld(build(5, 2, 40, 50), build(6, 2, 45, 20)), 'with a lower bound').to.equal(false);
+    expect(isHeld(new Replica(), seven), 'without any').to.equal(false);
+  });
+
   it('brings another replica up to date from any revision', () => {
     const events = fc.array(
       fc.record({ id: fc.constantFrom('a', 'b', 'c', 'd'), isRemoved: fc.boolean() }),
--- a/packages/gateway/src/record-sync/simulated-record-fleet.ts
+++ b/packages/gateway/src/record-sync/simulated-record-fleet.ts
@@ -18,6 +18,7 @@
 import type { SourceAnswer } from '../dialect/index.js';
 import type { HttpCall, HttpResponse } from '../http/index.js';
 import { recordsRequestSchema } from '../peers/messages.js';
+import { FleetKeyLease } from '../key-lease/index.js';
 import { RecordExchange } from './record-exchange.js';
 
 const STEP_MS = 10;
@@ -28,6 +29,7 @@
 const STORE_TIMEOUT_GRACE_MS = 500;
 const FULL_READ_TIMEOUT_MS = 1500;
 const ERA = 1;
+export const REVOCATION_MS = 5000;
 
 const SILENT_LOG = {
   error: () => undefined,
@@ -51,6 +53,7 @@
   readonly roles: FleetRoles;
   readonly replica: Replica;
   readonly exchange: RecordExchange;
+  readonly keyLease: FleetKeyLease;
   readonly handlers: Map<DatagramTag, DatagramHandler>;
   readonly tickPhaseMs: number;
   /** Whether it has lost power or its process is frozen: nothing reaches it, and it sends nothing. */
@@ -101,7 +104,10 @@
   }
 
   stop(): void {
-    this.daemons.forEach(({ exchange }) => exchange.stop());
+    this.daemons.forEach(({ exchange, keyLease }) => {
+      exchange.stop();
+      keyLease.stop();
+    });
   }
 
   /** The daemons of a data centre in order of rank, as a daemon that knows all of them sees them. */
@@ -126,7 +132,10 @@
     mock.timers.tick(STEP_MS);
     this.daemons
       .filter(({ tickPhaseMs, isDark }) => !isDark && (this.#now - tickPhaseMs) % TICK_MS === 0)
-      .forEach(({ exchange }) => exchange.runTick());
+      .forEach(({ exchange, keyLease }) => {
+        exchange.runTick();
+        keyLease.runTick();
+      });
     await this.#waitForEvents();
     await this.runFor(ms - STEP_MS, isDone);
   }
@@ -170,6 +179,26 @@
     const replica = new Replica();
     const handlers = new Map<DatagramTag, DatagramHandler>();
     const find = (): SimulatedDaemon => this.#find(member.address);
+    const socket = {
+      setHandler: (tag: DatagramTag, handler: DatagramHandler) => handlers.set(tag, handler),
+      send: (tag: DatagramTag, body: Buffer, address: string) =>
+        this.#sendDatagram(find(), tag, body, address),
+    };
+    const keyLease = new FleetKeyLease({
+      clock,
+      getWallTime: () => this.#now,
+      random: createRandom(this.#settings.seed),
+      log: SILENT_LOG,
+      selfId: member.id,
+      dataCentre: member.dataCentre,
+      readerCount: 1,
+      isStrict: true,
+      revocationMs: REVOCATION_MS,
+      replica,
+      fleet: { roles, isDispatcher: false },
+      socket,
+      onCutOffChange: () => undefined,
+    });
     const exchange = new RecordExchange({
       clock,
       random,
@@ -183,7 +212,7 @@
         watch: async (after, waitMs) => this.#watch(find(), after, waitMs),
         close: () => undefined,
       },
-      confirmations: { now: () => this.#now, recordRead: () => undefined },
+      confirmations: keyLease.confirmations,
       fleet: {
         roles,
         membership,
@@ -191,12 +220,9 @@
         recordHeard: (id) => membership.recordDirectContact(id),
         recordLost: (id) => membership.recordBrokenLink(id),
       },
-      socket: {
-        setHandler: (tag, handler) => handlers.set(tag, handler),
-        send: (tag, body, address) => this.#sendDatagram(find(), tag, body, address),
-      },
+      socket,
       calls: { send: async (call) => this.#fetch(find(), call) },
-      onChanged: () => undefined,
+      onChanged: () => keyLease.runTick(),
     });
     return {
       member,
@@ -204,6 +230,7 @@
       roles,
       replica,
       exchange,
+      keyLease,
       handlers,
       tickPhaseMs: Math.floor((this.#random.next() * TICK_MS) / STEP_MS) * STEP_MS,
       isDark: false,
--- a/packages/gateway/src/record-sync/store-reader.test.ts
+++ b/packages/gateway/src/record-sync/store-reader.test.ts
@@ -34,6 +34,8 @@
 
   isAway = false;
 
+  onCall: () => void = () => undefined;
+
   hasForgotten = false;
 
   /** Watches from an earlier revision fail. */
@@ -71,6 +73,7 @@
 
   #check(): void {
     this.reads += 1;
+    this.onCall();
     if (this.isAway) throw new Error('the store does not answer');
   }
 }
@@ -202,6 +205,31 @@
     await waitFor(() => listIds().length === 1);
   });
 
+  it('states when the calls began that confirmed what the store holds, and no others', async () => {
+    source.onCall = () => {
+      now += 1;
+    };
+    await waitFor(() => confirmed.length > 4);
+    expect(Math.max(...confirmed)).to.be.lessThan(now);
+    source.onCall = () => undefined;
+    now = 1000;
+    await waitFor(() => confirmed.includes(1000));
+    source.isAway = true;
+    await waitFor(() => events.includes('store-away'));
+    const { length } = confirmed;
+    now = 2000;
+    await wait(300);
+    expect(confirmed).to.have.length(length);
+    source.isAway = false;
+    source.era = 2;
+    await waitFor(() => replica.era === 2 && confirmed.includes(2000));
+    source.era = 1;
+    await waitFor(() => events.filter((event) => event === 'store-away').length > 1);
+    now = 3000;
+    await wait(300);
+    expect(confirmed).not.to.include(3000);
+  });
+
   it('takes an answer with an impossible era for one of the era that it knows', async () => {
     await waitFor(() => listIds().length === 2);
     source.era = 1e12;
