--- a/packages/stand-ins/src/platform/gateway-process.ts
+++ b/packages/stand-ins/src/platform/gateway-process.ts
@@ -19,6 +19,8 @@
   readonly storePort: number;
   /** Seconds from SIGTERM until the platform would kill it. */
   readonly stopGraceSeconds: number;
+  /** Bounds of the settings file beside those of planned stops and retries. */
+  readonly bounds?: readonly string[];
   /** Arguments for Node itself. */
   readonly nodeArguments?: readonly string[];
   /** Receives what the process logs, in pieces; it is dropped where absent. */
@@ -38,15 +40,23 @@
 
 /** The settings file of a process, in the platform's format. */
 export function formatGatewaySettings(settings: GatewayProcessSettings): string {
-  const { id, dataCentre, address, seeds, storePort, stopGraceSeconds } = settings;
+  const { id, dataCentre, address, seeds, storePort, stopGraceSeconds, bounds = [] } = settings;
   const { internal, ...listen } = GATEWAY_PORTS;
   const seedList = seeds.map((seed) => `"${seed}:${GATEWAY_PORTS.control}"`).join(', ');
+  const boundList = [
+    `graceS=${stopGraceSeconds}`,
+    'retryBudgetRatio=0.2',
+    'retryBudgetSlack=640',
+    ...bounds,
+  ]
+    .map((bound) => `"${bound}"`)
+    .join(', ');
   return [
     `nodeName = "${id}"`,
     `zone = "${dataCentre}"`,
     `internalPorts = [${internal}, ${internal + 5}]`,
     `seeds = [${seedList}]`,
-    `bounds = ["graceS=${stopGraceSeconds}", "retryBudgetRatio=0.2", "retryBudgetSlack=640"]`,
+    `bounds = [${boundList}]`,
     '[listenAddrs]',
     ...Object.entries(listen).map(([name, port]) => `${name} = "${address}:${port}"`),
     '[platform]',
--- a/packages/stand-ins/src/platform/wire-caller.ts
+++ b/packages/stand-ins/src/platform/wire-caller.ts
@@ -12,6 +12,8 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly timeLimitMs: number;
+  /** The key of the caller's account; undefined if the request bears none. */
+  readonly key?: string;
 };
 
 export type WireReply = {
@@ -32,7 +34,7 @@
 
   /** Sends a request; resolves in any case. */
   async send(wire: WireRequest): Promise<WireReply> {
-    const { id, address, port, host, method, path, timeLimitMs } = wire;
+    const { id, address, port, host, method, path, timeLimitMs, key } = wire;
     return new Promise((resolve) => {
       const outgoing = request({
         agent: this.#agent,
@@ -40,7 +42,12 @@
         port,
         path,
         method,
-        headers: { host, 'x-request-id': id, 'x-deadline-ms': String(timeLimitMs) },
+        headers: {
+          host,
+          'x-request-id': id,
+          'x-deadline-ms': String(timeLimitMs),
+          ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+        },
         timeout: timeLimitMs + GRACE_MS,
       });
       outgoing.once('timeout', () => outgoing.destroy());
