Advertise a lost key lease by a capacity of its own

A neighbour with the capacity of lost links makes daemons check their own links to the upstreams, which a lost lease says nothing of. The simulated fleet shows that only a daemon that reaches no other advertises it.

--- a/packages/core/src/dispatchers/capacity.ts
+++ b/packages/core/src/dispatchers/capacity.ts
@@ -16,6 +16,11 @@
 const LINK_BYTES_PER_REQUEST = 10_000;
 /** Advertised by a daemon that reaches hardly any upstream; below the capacity of any VM. */
 export const CUT_OFF_CAPACITY = 0.5;
+/**
+ * Advertised by a daemon that has lost its key lease alone. Another value, since a neighbour with the
+ * one above makes daemons check their own links to the upstreams.
+ */
+export const LEASE_LOST_CAPACITY = CUT_OFF_CAPACITY / 2;
 const MS_PER_SECOND = 1000;
 const BYTES_PER_MEGABIT = 125_000;
 
--- a/packages/core/src/dispatchers/index.ts
+++ b/packages/core/src/dispatchers/index.ts
@@ -1,4 +1,4 @@
-export { computeCapacity, CUT_OFF_CAPACITY } from './capacity.js';
+export { computeCapacity, CUT_OFF_CAPACITY, LEASE_LOST_CAPACITY } from './capacity.js';
 export type { VmResources } from './capacity.js';
 export {
   chooseDispatchers,
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -165,7 +165,7 @@
       .listServing()
       .some(
         (one) =>
-          one.dataCentre === dataCentre && one.id !== ownId && one.capacity <= CUT_OFF_CAPACITY,
+          one.dataCentre === dataCentre && one.id !== ownId && one.capacity === CUT_OFF_CAPACITY,
       );
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
   computeStopBounds,
   CUT_OFF_CAPACITY,
   DEFAULT_REPLICA_SETTINGS,
+  LEASE_LOST_CAPACITY,
   PlannedStop,
   Replica,
 } from '@baobabline/core';
@@ -437,8 +438,8 @@
 
   /** Both lost links to the upstreams and a lost key lease are reasons not to be named to callers. */
   #announceCapacity(): void {
-    const isCutOff = this.#linkMonitor.isCutOff || this.#keyLease.isCutOff;
-    this.#fleet.announceCapacity(isCutOff ? CUT_OFF_CAPACITY : undefined);
+    const leaseCapacity = this.#keyLease.isCutOff ? LEASE_LOST_CAPACITY : undefined;
+    this.#fleet.announceCapacity(this.#linkMonitor.isCutOff ? CUT_OFF_CAPACITY : leaseCapacity);
   }
 
   #createKeyLease(): FleetKeyLease {
--- a/packages/gateway/src/key-lease/fleet-key-lease.test.ts
+++ b/packages/gateway/src/key-lease/fleet-key-lease.test.ts
@@ -108,9 +108,13 @@
     await fleet.runFor(REVOCATION_MS);
     expect(listAccepting(REMOVED)).to.deep.equal([]);
     expect(listAccepting(KEPT)).to.have.length(fleet.daemons.length - 1);
+    const listCutOff = (): readonly SimulatedDaemon[] =>
+      fleet.daemons.filter(({ keyLease }) => keyLease.isCutOff);
+    expect(listCutOff()).to.deep.equal(fleet.daemons.slice(1, 2));
     fleet.isStoreSilent = true;
     await fleet.runFor(REVOCATION_MS);
     expect(listAccepting(KEPT)).to.deep.equal([]);
+    expect(listCutOff()).to.deep.equal(fleet.daemons.slice(1, 2));
     fleet.isStoreSilent = false;
     await fleet.runFor(4000);
     expect(listAccepting(KEPT)).to.have.length(fleet.daemons.length - 1);
--- a/packages/gateway/src/untrusted-messages.test.ts
+++ b/packages/gateway/src/untrusted-messages.test.ts
@@ -22,6 +22,7 @@
 } from './datagrams/index.js';
 import { changesSchema } from './peers/index.js';
 import { formatQuarantineReport, parseQuarantineReport } from './crash-quarantine/index.js';
+import { parseLeaseAnswer, parseLeaseQuestion } from './key-lease/messages.js';
 import { parseRateLimits } from './rate-limits/rate-limit-message.js';
 import {
   formatRecords,
@@ -271,6 +272,7 @@
       const body = Buffer.from(bytes);
       [parsePoll, parseRecordUpdate, parseReport, parseRateLimits].forEach((parse) => parse(body));
       parseQuarantineReport(body, 0);
+      [parseLeaseQuestion, parseLeaseAnswer].forEach((parse) => parse(body));
       parseBody(body, exchangeRowsSchema);
       expect(parsePoll(formatBody(['vm-1', [], true, false]))?.id).to.equal('vm-1');
     });
