--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
   CUT_OFF_CAPACITY,
   DEFAULT_REPLICA_SETTINGS,
   drawStartupRetryMs,
+  LEASE_LOST_CAPACITY,
   PlannedStop,
   Replica,
 } from '@baobabline/core';
@@ -17,7 +18,7 @@
 import type { Server } from 'node:http';
 import { setImmediate as waitForEvents, setTimeout as wait } from 'node:timers/promises';
 
-import { checkKeyAgain, UNBOUNDED_KEY_VALIDITY } from './caller-keys/index.js';
+import { checkKeyAgain } from './caller-keys/index.js';
 import type {
   DirectoryResponse,
   DirectoryQuery,
@@ -35,6 +36,7 @@
 import { FleetLinks, TrafficMeter } from './fleet/index.js';
 import type { TrafficPurpose } from './fleet/index.js';
 import { closeServer, HttpClient, listenOn } from './http/index.js';
+import { FleetKeyLease } from './key-lease/index.js';
 import { RecordExchange } from './record-sync/index.js';
 import { createMetricsServer, GatewayMetrics } from './metrics/index.js';
 import { createPeerServer } from './peers/index.js';
@@ -81,6 +83,8 @@
   news: 'records',
   'rate-limits': 'reports',
   'crash-reports': 'reports',
+  'lease-question': 'records',
+  'lease-answer': 'records',
 };
 
 export type GatewayPhase = 'joining' | 'serving' | 'leaving' | 'stopped';
@@ -109,10 +113,10 @@
 
   readonly #fleet: FleetLinks;
 
-  readonly #keyValidity = UNBOUNDED_KEY_VALIDITY;
-
   readonly #recordSource: RecordSource;
 
+  readonly #keyLease: FleetKeyLease;
+
   readonly #recordExchange: RecordExchange;
 
   readonly #reports: DispatcherReports;
@@ -163,6 +167,7 @@
     this.#heldBytes = new HeldBytes(settings.maxHeldBytes);
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
+    this.#keyLease = this.#createKeyLease();
     this.#recordExchange = this.#createRecordExchange();
     this.#reports = this.#createReports();
     this.#rateLimits = new FleetRateLimits({
@@ -326,6 +331,7 @@
     this.#rateLimits.stop();
     this.#quarantine.stop();
     this.#linkMonitor.stop();
+    this.#keyLease.stop();
     this.#fleetSocket.close();
     await Promise.all(this.#servers.map(closeServer));
     this.#fleet.close();
@@ -353,6 +359,7 @@
     this.#rateLimits.runTick();
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
+    this.#keyLease.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
   }
 
@@ -377,6 +384,7 @@
         getStoreEra: () => this.#replica.era ?? 0,
         isStoreUnavailable: () => this.#recordExchange.isStoreAway,
         isDispatcher: () => this.#fleet.isDispatcher,
+        getKeyLeaseAgeMs: () => this.#keyLease.ageMs,
         isCutOff: () => this.#linkMonitor.isCutOff,
         listTraffic: () => this.#traffic.list(),
       },
@@ -407,8 +415,8 @@
       onLeaving: (upstream) => this.#log.info('upstream-leaving', { upstream }),
       onLoadChange: () => this.#reports.recordLoad(),
       checkCaller: ({ caller }) => {
-        const { routes } = this.#services;
-        return routes && checkKeyAgain(caller, routes, this.#keyValidity);
+        const accounts = this.#keyLease.findAccounts(this.#services.routes);
+        return accounts && checkKeyAgain(caller, accounts, this.#keyLease.validity);
       },
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
@@ -426,11 +434,36 @@
           reached,
           checked,
         });
-        this.#fleet.announceCapacity(isCutOff ? CUT_OFF_CAPACITY : undefined);
+        this.#announceCapacity();
       },
     });
   }
 
+  /** Both lost links to the upstreams and a lost key lease are reasons not to be named to callers. */
+  #announceCapacity(): void {
+    const leaseCapacity = this.#keyLease.isCutOff ? LEASE_LOST_CAPACITY : undefined;
+    this.#fleet.announceCapacity(this.#linkMonitor.isCutOff ? CUT_OFF_CAPACITY : leaseCapacity);
+  }
+
+  #createKeyLease(): FleetKeyLease {
+    const { id, dataCentre, dispatchersPerDataCentre, bounds } = this.#settings;
+    return new FleetKeyLease({
+      clock: this.#clock,
+      getWallTime: () => Date.now(),
+      random: this.#random,
+      log: this.#log,
+      selfId: id,
+      dataCentre,
+      readerCount: dispatchersPerDataCentre,
+      isStrict: bounds.strictRevocation,
+      revocationMs: bounds.revocationMs,
+      replica: this.#replica,
+      fleet: this.#fleet,
+      socket: this.#fleetSocket,
+      onCutOffChange: () => this.#announceCapacity(),
+    });
+  }
+
   #createFleetSocket(): FleetSocket {
     const socket = new FleetSocket({
       port: this.#settings.reports.port,
@@ -468,6 +501,7 @@
       readerCount: this.#settings.dispatchersPerDataCentre,
       replica: this.#replica,
       source: this.#recordSource,
+      confirmations: this.#keyLease.confirmations,
       fleet: this.#fleet,
       socket: this.#fleetSocket,
       calls: this.#httpClient,
@@ -504,7 +538,7 @@
       canServe: () => this.#canServe(),
       drawStartupRetryMs: () =>
         drawStartupRetryMs(this.#clock.now() - this.#startedAt, this.#random),
-      keyValidity: this.#keyValidity,
+      keyValidity: this.#keyLease.validity,
       chooseService: (route) => this.#services.chooseService(route),
       serve: (request, onEnd) => this.#serve(request, onEnd),
       onRefused: (error, requestId, target) =>
@@ -516,7 +550,7 @@
 
   #canServe(): boolean {
     const routes = this.#getRoutes();
-    return routes !== undefined && (!routes.accounts || this.#keyValidity.mayAccept());
+    return routes !== undefined && (!routes.accounts || this.#keyLease.validity.mayAccept());
   }
 
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
@@ -553,6 +587,7 @@
    * arrives before that, pending changes are applied first.
    */
   #handleRecordChange(): void {
+    this.#keyLease.runTick();
     this.#refreshTimer ??= setTimeout(
       () => this.#refreshServices(),
       this.#fleet.isDispatcher || !this.#services.routes ? 0 : IDLE_REFRESH_DELAY_MS,
--- a/packages/stand-ins/src/platform/gateway-process.ts
+++ b/packages/stand-ins/src/platform/gateway-process.ts
@@ -19,7 +19,7 @@
   readonly storePort: number;
   /** Seconds from SIGTERM until the platform would kill it. */
   readonly stopGraceSeconds: number;
-  /** Further bounds, as texts `name=value`. */
+  /** Bounds of the settings file beside those of planned stops and retries. */
   readonly bounds?: readonly string[];
   /** Arguments for Node itself. */
   readonly nodeArguments?: readonly string[];
@@ -42,19 +42,21 @@
 export function formatGatewaySettings(settings: GatewayProcessSettings): string {
   const { id, dataCentre, address, seeds, storePort, stopGraceSeconds, bounds = [] } = settings;
   const { internal, ...listen } = GATEWAY_PORTS;
-  const allBounds = [
+  const seedList = seeds.map((seed) => `"${seed}:${GATEWAY_PORTS.control}"`).join(', ');
+  const boundList = [
     `graceS=${stopGraceSeconds}`,
     'retryBudgetRatio=0.2',
     'retryBudgetSlack=640',
     ...bounds,
-  ];
-  const seedList = seeds.map((seed) => `"${seed}:${GATEWAY_PORTS.control}"`).join(', ');
+  ]
+    .map((bound) => `"${bound}"`)
+    .join(', ');
   return [
     `nodeName = "${id}"`,
     `zone = "${dataCentre}"`,
     `internalPorts = [${internal}, ${internal + 5}]`,
     `seeds = [${seedList}]`,
-    `bounds = [${allBounds.map((bound) => `"${bound}"`).join(', ')}]`,
+    `bounds = [${boundList}]`,
     '[listenAddrs]',
     ...Object.entries(listen).map(([name, port]) => `${name} = "${address}:${port}"`),
     '[platform]',
