Let the soak use client accounts, keys and quotas in every second seed

Cause: the soak knew no accounts, so that nothing checked keys, revocation and quotas with real processes under faults.

Change: seeds that are even publish three accounts: one for the callers of before, one that floods through all daemons beyond its quota, and one whose key is removed after three tenths of the run and used on. Judged are the account that upstreams see, credentials that reach them, a removed key that runs later than 5 s after the store accepted its removal, known keys that are refused, and runs of a quota in any 5 s.

--- a/packages/experiments/src/soak/callers.ts
+++ b/packages/experiments/src/soak/callers.ts
@@ -8,6 +8,8 @@
 import type { ConnectionRequest } from '@baobabline/stand-ins';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { FLOODING_ACCOUNT, MAIN_ACCOUNT, REMOVED_ACCOUNT } from './accounts.js';
+import type { SoakAccount } from './accounts.js';
 import { CALLER_KINDS } from './caller-kinds/index.js';
 import type { CallerKind, RequestDraft } from './caller-kinds/index.js';
 import type { SoakDaemon } from './daemon.js';
@@ -33,6 +35,11 @@
 const CRASH_SEED = 37;
 const SHOWN_BYTES = 120;
 
+/** How often the accounts beside the main one send a request to each daemon in turn. */
+const FLOOD_INTERVAL_MS = 15;
+const REMOVED_KEY_INTERVAL_MS = 60;
+const ACCOUNT_LIMIT_MS = 1000;
+
 type Place = { readonly daemon: SoakDaemon; readonly life: number };
 
 export class SoakCallers {
@@ -44,6 +51,8 @@
 
   readonly #prefix: string;
 
+  readonly #hasAccounts: boolean;
+
   /** Has draws of its own, so that those of the other callers are the same with and without it. */
   readonly #crashRandom = createRandom(CRASH_SEED);
 
@@ -51,7 +60,13 @@
 
   #isOver = false;
 
-  constructor(daemons: SoakDaemons, recorder: SoakRecorder, random: RandomSource, prefix: string) {
+  constructor(
+    daemons: SoakDaemons,
+    recorder: SoakRecorder,
+    random: RandomSource,
+    { prefix, hasAccounts }: { readonly prefix: string; readonly hasAccounts: boolean },
+  ) {
+    this.#hasAccounts = hasAccounts;
     this.#daemons = daemons;
     this.#recorder = recorder;
     this.#random = random;
@@ -82,17 +97,42 @@
     await this.runCrashing();
   }
 
+  /** Sends requests of the accounts beside the main one, through all daemons, until told to stop. */
+  async runAccounts(): Promise<void> {
+    if (!this.#hasAccounts) return;
+    await Promise.all([
+      this.#runAccount(FLOODING_ACCOUNT, FLOOD_INTERVAL_MS, 0),
+      this.#runAccount(REMOVED_ACCOUNT, REMOVED_KEY_INTERVAL_MS, 0),
+    ]);
+  }
+
   /** Sends one request on a connection of its own. */
-  async sendAlone(daemon: SoakDaemon, path: string, timeLimitMs: number): Promise<SeenRequest> {
+  async sendAlone(
+    daemon: SoakDaemon,
+    path: string,
+    timeLimitMs: number,
+    account = MAIN_ACCOUNT,
+  ): Promise<SeenRequest> {
     const place = { daemon, life: daemon.life };
     const connection = new CallerConnection(daemon.address, GATEWAY_PORTS.front);
     const draft: RequestDraft = { method: 'GET', timeLimitMs, workMs: 0 };
     await connection.connect();
-    const seen = await this.#send(connection, place, 'single', draft, path);
+    const seen = await this.#send(connection, place, 'single', draft, path, account);
     connection.close();
     return seen;
   }
 
+  /** Does not wait for the answers, so that slow ones do not lower the rate. */
+  async #runAccount(account: SoakAccount, intervalMs: number, turn: number): Promise<void> {
+    const daemon = this.#daemons.get(turn);
+    if (this.#isOver || !daemon) return;
+    const path = `/read/${account.name}-${turn}?work=5&bytes=0`;
+    const sending = this.sendAlone(daemon, path, ACCOUNT_LIMIT_MS, account);
+    await wait(intervalMs);
+    await this.#runAccount(account, intervalMs, turn + 1);
+    await sending;
+  }
+
   #chooseDaemon(): SoakDaemon {
     const { all } = this.#daemons;
     const stopping = all.filter((daemon) => daemon.isStopping);
@@ -135,10 +175,12 @@
     caller: string,
     { workMs, answerBytes = 0, ...draft }: RequestDraft,
     path: string,
+    account = MAIN_ACCOUNT,
   ): Promise<SeenRequest> {
     this.#count += 1;
     const request: ConnectionRequest = {
       ...draft,
+      ...(this.#hasAccounts ? { key: account.key } : {}),
       id: `r-${this.#prefix}-${this.#count}`,
       host: HOST,
       path,
@@ -151,6 +193,7 @@
       daemon: daemon.id,
       life,
       caller,
+      account: this.#hasAccounts ? account.name : '',
       method: request.method,
       path,
       bodyBytes: request.bodyBytes ?? 0,
--- a/packages/experiments/src/soak/daemon.ts
+++ b/packages/experiments/src/soak/daemon.ts
@@ -16,6 +16,8 @@
   readonly network: string;
   readonly storePort: number;
   readonly graceMs: number;
+  /** Bounds beside those of stops and retries, as texts `name=value`. */
+  readonly bounds: readonly string[];
 };
 
 const DATA_CENTRES = 2;
@@ -56,6 +58,7 @@
       seeds: Array.from({ length: Math.min(SEEDS, count) }, (_, at) => getAddress(at)),
       storePort: shared.storePort,
       stopGraceSeconds: graceMs / 1000,
+      bounds: shared.bounds,
     });
   }
 
--- a/packages/experiments/src/soak/judge-cuts.test.ts
+++ b/packages/experiments/src/soak/judge-cuts.test.ts
@@ -11,6 +11,7 @@
   daemon: 'vm-0',
   life: 1,
   caller: 'plain',
+  account: '',
   method: 'POST',
   path: '/book/1',
   bodyBytes: 0,
@@ -30,6 +31,8 @@
   atMs: 5110,
   endMs: 5500,
   bodyBytes: 0,
+  account: '',
+  hasCredentials: false,
   fault: undefined,
 };
 const EXIT: SeenExit = { daemon: 'vm-0', life: 1, atMs: 9000, code: 0, signal: null };
@@ -44,6 +47,8 @@
   published: [],
   leavings: [],
   limits: [],
+  quotas: [],
+  keyRemovedMs: Number.POSITIVE_INFINITY,
   links: [],
   stalls: [],
   struck: [STOP],
--- a/packages/experiments/src/soak/judge.test.ts
+++ b/packages/experiments/src/soak/judge.test.ts
@@ -11,6 +11,7 @@
   life: 1,
   method: 'POST',
   path: '/book/1',
+  account: '',
   caller: 'plain',
   bodyBytes: 0,
   timeLimitMs: 2000,
@@ -29,6 +30,8 @@
   atMs: 5005,
   endMs: 5045,
   bodyBytes: 0,
+  account: '',
+  hasCredentials: false,
   fault: undefined,
 };
 
@@ -45,6 +48,8 @@
   published: [],
   leavings: [],
   limits: [],
+  quotas: [],
+  keyRemovedMs: Number.POSITIVE_INFINITY,
   links: [],
   stalls: [],
   struck: [],
--- a/packages/experiments/src/soak/judge.ts
+++ b/packages/experiments/src/soak/judge.ts
@@ -5,6 +5,7 @@
  */
 import { RESULT_CODES } from '@baobabline/core';
 
+import { checkAccounts } from './judge-accounts.js';
 import {
   checkCuts,
   computeStall,
@@ -300,5 +301,6 @@
     ...checkExits(record),
     ...checkLimits(record),
     ...checkCrashes(record),
+    ...checkAccounts(record, runs),
   ];
 }
--- a/packages/experiments/src/soak/published.ts
+++ b/packages/experiments/src/soak/published.ts
@@ -6,6 +6,7 @@
 import type { PublishedRoute, StoreCopy, StoreMode } from '@baobabline/stand-ins';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { buildAccounts } from './accounts.js';
 import { HOST } from './callers.js';
 import type { SoakRecorder } from './recorder.js';
 import type { Disturbance } from './types.js';
@@ -33,12 +34,31 @@
 
   #version = 0;
 
+  /** Undefined as long as the key stands in the configuration. */
+  #keyRemovedMs: number | undefined;
+
+  readonly #hasAccounts: boolean;
+
   #copies: readonly { readonly atMs: number; readonly copy: StoreCopy }[] = [];
 
   #isOver = false;
 
-  constructor(recorder: SoakRecorder) {
+  constructor(recorder: SoakRecorder, hasAccounts: boolean) {
     this.#recorder = recorder;
+    this.#hasAccounts = hasAccounts;
+  }
+
+  /** When the removal of a key was accepted; infinite before. */
+  get keyRemovedMs(): number {
+    return this.#keyRemovedMs ?? Number.POSITIVE_INFINITY;
+  }
+
+  /** Publishes a configuration in which an account has lost its key. */
+  removeKey(): void {
+    if (!this.#hasAccounts) return;
+    this.#keyRemovedMs = this.#recorder.now;
+    this.publish();
+    this.#keyRemovedMs = this.#recorder.now;
   }
 
   get version(): number {
@@ -114,6 +134,9 @@
       build('/book/', 'unsafe'),
       build(`/v${this.#version}/`, 'safe'),
     ];
-    return buildStoreConfiguration(this.#version, HOST, routes);
+    const accounts = this.#hasAccounts
+      ? buildAccounts(this.#keyRemovedMs !== undefined)
+      : undefined;
+    return buildStoreConfiguration(this.#version, HOST, routes, accounts);
   }
 }
--- a/packages/experiments/src/soak/recorder.ts
+++ b/packages/experiments/src/soak/recorder.ts
@@ -6,7 +6,7 @@
 /** What is taken down while the soak runs, as lists of rows. */
 export type SeenKey = Exclude<
   keyof SoakRecord,
-  'graceMs' | 'routeTimeMs' | 'disturbances' | 'runs'
+  'graceMs' | 'routeTimeMs' | 'disturbances' | 'runs' | 'quotas' | 'keyRemovedMs'
 >;
 
 /** How often this process looks whether it is held up itself, and from when on that is noted. */
--- a/packages/experiments/src/soak/soak.ts
+++ b/packages/experiments/src/soak/soak.ts
@@ -10,6 +10,7 @@
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { ACCOUNT_BOUNDS, FLOODING_QUOTA } from './accounts.js';
 import { SoakCallers } from './callers.js';
 import type { SoakDaemon } from './daemon.js';
 import { SoakDaemons } from './daemons.js';
@@ -55,6 +56,10 @@
 const READY_LIMIT_MS = 1000;
 const START_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
+/** One in so many seeds has client accounts, with keys and quotas. */
+const SEEDS_PER_ACCOUNTS = 2;
+/** Part of the run after which an account loses its key. */
+const KEY_REMOVAL_PART = 0.3;
 /** Part of the run during which upstreams state rate limits. */
 const LIMITED_PART = 0.7;
 
@@ -65,9 +70,11 @@
 
   readonly #recorder = new SoakRecorder();
 
-  readonly #store = new SoakStore(this.#recorder);
+  readonly #hasAccounts: boolean;
 
-  readonly #upstreams = new SoakUpstreams(this.#store.server, this.#recorder);
+  readonly #store: SoakStore;
+
+  readonly #upstreams: SoakUpstreams;
 
   readonly #folder = mkdtempSync(join(tmpdir(), 'baobabline-soak-'));
 
@@ -80,6 +87,9 @@
   constructor(options: SoakOptions) {
     this.#options = options;
     this.#random = createRandom(options.seed);
+    this.#hasAccounts = options.seed % SEEDS_PER_ACCOUNTS === 0;
+    this.#store = new SoakStore(this.#recorder, this.#hasAccounts);
+    this.#upstreams = new SoakUpstreams(this.#store.server, this.#recorder);
     this.#graceMs = (MIN_GRACE_SECONDS + Math.floor(this.#random.next() * GRACES)) * 1000;
   }
 
@@ -93,7 +103,10 @@
     });
     try {
       const daemons = await this.#startDaemons();
-      const callers = new SoakCallers(daemons, this.#recorder, this.#random, String(seed));
+      const callers = new SoakCallers(daemons, this.#recorder, this.#random, {
+        prefix: String(seed),
+        hasAccounts: this.#hasAccounts,
+      });
       await this.#waitUntilReady(daemons, callers);
       await this.#runDisturbances(daemons, callers, disturbances);
     } finally {
@@ -129,6 +142,7 @@
       network,
       storePort,
       graceMs: this.#graceMs,
+      bounds: this.#hasAccounts ? ACCOUNT_BOUNDS : [],
     };
     this.#daemons = new SoakDaemons(processes, settings, this.#recorder);
     this.#daemons.start();
@@ -155,9 +169,10 @@
     disturbances: readonly Disturbance[],
   ): Promise<void> {
     const lengthMs = this.#options.seconds * 1000;
-    const calling = Promise.all([callers.run(), callers.runCrashing()]);
+    const calling = Promise.all([callers.run(), callers.runCrashing(), callers.runAccounts()]);
     const watching = this.#checkVersions(daemons, callers);
     const others = [
+      this.#removeKey(lengthMs * KEY_REMOVAL_PART),
       this.#store.runCopies(),
       this.#upstreams.runRateLimits(lengthMs * LIMITED_PART),
     ];
@@ -176,6 +191,11 @@
     await Promise.all(others);
   }
 
+  async #removeKey(afterMs: number): Promise<void> {
+    await wait(afterMs);
+    this.#store.removeKey();
+  }
+
   async #apply(daemons: SoakDaemons, disturbance: Disturbance): Promise<void> {
     const { kind, startMs, endMs, target, signals } = disturbance;
     const isDone =
@@ -226,6 +246,8 @@
       graceMs: this.#graceMs,
       routeTimeMs: ROUTE_TIMEOUT_SECONDS * 1000,
       disturbances,
+      quotas: this.#hasAccounts ? [FLOODING_QUOTA] : [],
+      keyRemovedMs: this.#store.keyRemovedMs,
       runs: this.#upstreams
         .listRuns()
         .filter(({ requestId, atMs }) => atMs > 0 || known.has(requestId)),
--- a/packages/experiments/src/soak/types.ts
+++ b/packages/experiments/src/soak/types.ts
@@ -51,6 +51,8 @@
   readonly life: number;
   /** The kind of caller. */
   readonly caller: string;
+  /** Name of the caller's client account; empty where requests need no key. */
+  readonly account: string;
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly bodyBytes: number;
@@ -77,6 +79,10 @@
   /** When the instance answered, or its connection closed. */
   readonly endMs: number;
   readonly bodyBytes: number;
+  /** Name of the account that the daemon stated; empty if it stated none. */
+  readonly account: string;
+  /** Whether the request still bore the credentials of its caller. */
+  readonly hasCredentials: boolean;
   /** What kept the instance from an answer as it should be. */
   readonly fault: string | undefined;
 };
@@ -130,6 +136,17 @@
   readonly toMs: number;
 };
 
+/** How many requests of a client account may run within any window. */
+export type Quota = {
+  readonly account: string;
+  readonly perSecond: number;
+  readonly burst: number;
+  readonly windowMs: number;
+  /** Share by which the fleet may exceed rate and burst. */
+  readonly overshoot: number;
+  readonly slack: number;
+};
+
 export type SoakRecord = {
   /** Time from a signal to stop until the platform would kill the daemon. */
   readonly graceMs: number;
@@ -144,6 +161,9 @@
   readonly published: readonly { readonly version: number; readonly atMs: number }[];
   readonly leavings: readonly Leaving[];
   readonly limits: readonly StatedLimit[];
+  readonly quotas: readonly Quota[];
+  /** When the store had accepted the removal of a key; infinite if none was removed. */
+  readonly keyRemovedMs: number;
   readonly links: readonly LinkTrouble[];
   /** When this process, and so perhaps the whole machine, was held up. */
   readonly stalls: readonly { readonly fromMs: number; readonly toMs: number }[];
--- a/packages/experiments/src/soak/upstreams.ts
+++ b/packages/experiments/src/soak/upstreams.ts
@@ -97,13 +97,15 @@
 
   listRuns(): readonly SeenRun[] {
     return [...this.#current, ...this.#retired].flatMap(({ instance }) =>
-      instance.runs.map(({ requestId, startedAt, endedAt, bodyBytes, fault }) => ({
-        requestId,
+      instance.runs.map(({ startedAt, endedAt, ...run }) => ({
+        requestId: run.requestId,
         instance: instance.id,
         atMs: this.#recorder.toSoakTime(startedAt),
         endMs: this.#recorder.toSoakTime(endedAt ?? Number.POSITIVE_INFINITY),
-        bodyBytes,
-        fault,
+        bodyBytes: run.bodyBytes,
+        account: run.account,
+        hasCredentials: run.hasCredentials,
+        fault: run.fault,
       })),
     );
   }
