Count a daemon as cut off only after several rounds of questions

One that starts while a configuration is on its way would have advertised it for some milliseconds. The key-lease tests of core and gateway pass.

--- a/packages/core/src/key-lease/lease-renewal.ts
+++ b/packages/core/src/key-lease/lease-renewal.ts
@@ -65,8 +65,9 @@
 const OWN_READ_MS = 1900;
 /** Below this, a lease that nobody renews is taken for lost. */
 const WEAK_LEASE_MS = 1500;
-/** Rounds without any answer, 1.6 s, after which a daemon reaches no other. */
-const ISOLATED_ROUNDS = 5;
+/** Rounds without a good answer, 1.6 s, after which a daemon may count as cut off. */
+const CUT_OFF_ROUNDS = 5;
+/** Time without any answer after which it reaches no other. */
 const ISOLATED_MS = 1000;
 /** Bounds of the time after which callers are told to try again while there is no lease. */
 const MIN_RETRY_AFTER_MS = 500;
@@ -111,9 +112,8 @@
    */
   get isCutOff(): boolean {
     const { lease, clock } = this.#ports;
-    if (lease.remainingMs >= WEAK_LEASE_MS) return false;
-    const isIsolated =
-      this.#failedRounds >= ISOLATED_ROUNDS && clock.now() - this.#answeredAt > ISOLATED_MS;
+    if (lease.remainingMs >= WEAK_LEASE_MS || this.#failedRounds < CUT_OFF_ROUNDS) return false;
+    const isIsolated = clock.now() - this.#answeredAt > ISOLATED_MS;
     const newerAt = this.#deferred?.startedAt ?? Number.NEGATIVE_INFINITY;
     return isIsolated || newerAt > lease.startedAt + GOOD_AGE_MS;
   }
