--- a/packages/core/src/key-lease/key-lease.test.ts
+++ b/packages/core/src/key-lease/key-lease.test.ts
@@ -182,6 +182,9 @@
     now += 500;
     answer(ask());
     expect(renewal.isCutOff).to.equal(false);
+    const configuration = { version: 6, era: 1, revision: 6, eras: [] };
+    runFor(6000, () => asked.forEach(([nonce, { id }]) => answer(nonce, { configuration }, id)));
+    expect(renewal.isCutOff, 'behind the others').to.equal(true);
   });
 });
 
