--- a/packages/core/src/queueing/admission.ts
+++ b/packages/core/src/queueing/admission.ts
@@ -7,8 +7,7 @@
  * A request is admitted if it is expected to meet its target latency. If it is expected to be late,
  * later arrivals that can still be in time are served first, so that it is admitted only if the
  * slots they leave free suffice. A request that cannot be served is refused at once, while its
- * caller still has time to retry. The refusal says when a slot is expected to be free, with jitter,
- * so that callers that were refused together do not return together.
+ * caller still has time to retry.
  */
 import type { RandomSource } from '../runtime/index.js';
 
@@ -31,14 +30,11 @@
   readonly timeLeftMs: number;
 };
 
-export type AdmissionDecision =
-  { readonly kind: 'wait' } | { readonly kind: 'refuse'; readonly retryAfterMs: number };
-
 /** Callers honour a Retry-After only up to this share of the time that they have left. */
-const MAX_RETRY_AFTER_SHARE = 1 / 3;
+export const MAX_RETRY_AFTER_SHARE = 1 / 3;
 /** Width of the random spread of a Retry-After, as a share of the expected wait. */
 const RETRY_AFTER_JITTER = 0.5;
-const MIN_RETRY_AFTER_MS = 50;
+export const MIN_RETRY_AFTER_MS = 50;
 /** Minimum share of the slots assumed free for late requests, even if arrivals seem to need all. */
 const MIN_FREE_SLOT_SHARE = 0.1;
 
@@ -60,22 +56,20 @@
 }
 
 /** Computes the share of the slots that future arrivals leave free, from 0 to 1. */
-function computeFreeSlotShare({ slots, meanAttemptMs, arrivalsPerMs }: QueueState): number {
+export function computeFreeSlotShare({ slots, meanAttemptMs, arrivalsPerMs }: QueueState): number {
   if (slots === 0) return MIN_FREE_SLOT_SHARE;
   return Math.max(MIN_FREE_SLOT_SHARE, 1 - (arrivalsPerMs * meanAttemptMs) / slots);
 }
 
-/** Decides whether a request should be queued, or stay queued; `waiting` counts those ahead. */
-export function checkAdmission(
+/** Whether a request should be queued, or stay queued; `waiting` counts those ahead. */
+export function isServable(
   state: QueueState,
   { targetLeftMs, timeLeftMs }: RemainingTime,
-  random: RandomSource,
-): AdmissionDecision {
+): boolean {
   const expectedWaitMs = computeExpectedWaitMs(state);
   const isInTime = expectedWaitMs + state.meanAttemptMs <= targetLeftMs;
   const waitMs = isInTime ? expectedWaitMs : expectedWaitMs / computeFreeSlotShare(state);
-  if (waitMs + state.meanAttemptMs <= timeLeftMs) return { kind: 'wait' };
-  return { kind: 'refuse', retryAfterMs: drawRetryAfterMs(expectedWaitMs, timeLeftMs, random) };
+  return waitMs + state.meanAttemptMs <= timeLeftMs;
 }
 
 /** Accepted by a request that need not wait: the maximum failure probability of a trusted upstream. */
--- a/packages/core/src/queueing/queueing.test.ts
+++ b/packages/core/src/queueing/queueing.test.ts
@@ -5,10 +5,10 @@
   ArrivalRate,
   computeMaxFailureProbability,
   drawRetryAfterMs,
-  checkAdmission,
+  isServable,
   RequestQueue,
 } from './index.js';
-import type { QueuedRequest, QueueState, AdmissionDecision } from './index.js';
+import type { QueuedRequest, QueueState } from './index.js';
 
 function buildRequest(id: string, changes: Partial<QueuedRequest> = {}): QueuedRequest {
   return {
@@ -88,11 +88,8 @@
   let ends: readonly number[] = [];
   const elapsed: number[] = [];
   const unservedWaitsMs: number[] = [];
-  const checkNow = (
-    { targetAt, latestSendAt }: QueuedRequest,
-    waiting: number,
-  ): AdmissionDecision =>
-    checkAdmission(
+  const checkNow = ({ targetAt, latestSendAt }: QueuedRequest, waiting: number): boolean =>
+    isServable(
       {
         waiting,
         slots: 10,
@@ -100,7 +97,6 @@
         arrivalsPerMs: hasAdmissionControl ? arrivals.getPerMs() : 0,
       },
       { targetLeftMs: targetAt - now, timeLeftMs: latestSendAt - now },
-      random,
     );
   Array.from({ length: 800 }, (_, tick) => tick * 10).forEach((tick) => {
     now = tick;
@@ -113,14 +109,13 @@
         latestSendAt: now + 2400,
         expectedAttemptMs: 200,
       });
-      const decision = checkNow(request, queue.countAhead(request, now));
-      if (decision.kind === 'wait') queue.add(request);
+      if (checkNow(request, queue.countAhead(request, now))) queue.add(request);
       else unservedWaitsMs.push(0);
     });
     const isRecheckDue = hasAdmissionControl && now % 100 === 0;
     const hopeless = queue
       .list(now)
-      .filter((request, ahead) => isRecheckDue && checkNow(request, ahead).kind === 'refuse');
+      .filter((request, ahead) => isRecheckDue && !checkNow(request, ahead));
     hopeless.forEach(({ id, arrivedAt }) => {
       queue.remove(id);
       unservedWaitsMs.push(now - arrivedAt);
@@ -184,20 +179,20 @@
 
 describe('admission control', () => {
   const state = { waiting: 20, slots: 10, meanAttemptMs: 200, arrivalsPerMs: 0 };
-  const check = (changes: Partial<QueueState>, targetLeftMs: number, timeLeftMs: number): string =>
-    checkAdmission({ ...state, ...changes }, { targetLeftMs, timeLeftMs }, createRandom(1)).kind;
+  const check = (changes: Partial<QueueState>, targetLeftMs: number, timeLeftMs: number): boolean =>
+    isServable({ ...state, ...changes }, { targetLeftMs, timeLeftMs });
 
   it('refuses a request at once if a slot would be free too late', () => {
-    expect(check({}, 0, 2000)).to.equal('wait');
-    expect(check({}, 0, 500)).to.equal('refuse');
-    expect(check({ slots: 0 }, 0, 5000)).to.equal('refuse');
+    expect(check({}, 0, 2000)).to.equal(true);
+    expect(check({}, 0, 500)).to.equal(false);
+    expect(check({ slots: 0 }, 0, 5000)).to.equal(false);
   });
 
   it('refuses a late request while arrivals that can be in time need all slots', () => {
     const arrivalsPerMs = 0.045;
-    expect(check({ arrivalsPerMs }, 700, 2000)).to.equal('wait');
-    expect(check({ arrivalsPerMs }, 600, 2000)).to.equal('refuse');
-    expect(check({ arrivalsPerMs: 0.01 }, 600, 2000)).to.equal('wait');
+    expect(check({ arrivalsPerMs }, 700, 2000)).to.equal(true);
+    expect(check({ arrivalsPerMs }, 600, 2000)).to.equal(false);
+    expect(check({ arrivalsPerMs: 0.01 }, 600, 2000)).to.equal(true);
   });
 
   it('answers more of an overload in time than deadlines alone, and nearly as many in total', () => {
--- a/packages/core/src/queueing/request-queue.ts
+++ b/packages/core/src/queueing/request-queue.ts
@@ -1,88 +1,197 @@
 /**
  * The queue of requests that wait for a free slot of a service.
  *
- * Load pattern: a traffic spike that fills all slots for seconds. Retries are served first. Next are
- * requests that can still be answered within their target latency, ordered by due time and priority.
- * Late requests follow until they expire: served earlier, each of them would make another request
- * late. Priority only shifts the due time, so that a request overtakes later ones of higher priority
- * after some time and no priority starves.
+ * Load pattern: a traffic spike that fills all slots for seconds, with a thousand requests waiting.
+ * Retries are served first. Next are requests that can still be answered within their target latency,
+ * ordered by due time and priority. Late requests follow until they expire: served earlier, each of
+ * them would make another request late. Priority only shifts the due time, so that a request overtakes
+ * later ones of higher priority after some time and no priority starves. Requests that have to yield,
+ * since their account or their kind has got more than its share, come after all others.
+ *
+ * The requests are kept in sorted lists, one set for each account and kind, so that an event takes
+ * about as long with a thousand requests as with ten.
  */
-export type QueuedRequest = {
-  readonly id: string;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** This and the other times are in milliseconds of the daemon's clock. */
-  readonly arrivedAt: number;
-  /** When the target latency of the route ends. */
-  readonly targetAt: number;
-  /** Latest time at which the request may be sent; then it expires. */
-  readonly latestSendAt: number;
-  /** Expected duration of an attempt on the request's route, in milliseconds. */
-  readonly expectedAttemptMs: number;
-  /** Whether the request was sent before; retries are served first, since their turn had come. */
-  readonly isRetry: boolean;
-};
+import { QueueLane, RETRY_GROUP } from './queue-lane.js';
+import type { QueuedRequest, RankedEntry } from './queue-lane.js';
+import { SortedList } from './sorted-list.js';
+import type { Keyed } from './sorted-list.js';
 
 /** Delay of the due time for each step of lower priority. */
 const PRIORITY_STEP_MS = 250;
 /** A request is late if less than this many expected attempt durations are left to its target. */
 const LATE_FACTOR = 1.5;
 
-/** Groups of requests, in the order in which they are served. */
-const RETRY_GROUP = 0;
-const IN_TIME_GROUP = 1;
-const LATE_GROUP = 2;
+type Place<Entry> = {
+  readonly lane: QueueLane<Entry>;
+  readonly serial: number;
+  readonly entry: Entry;
+  /** Its key in the list that holds it until it is late; undefined if it is a retry. */
+  readonly lateKey: number | undefined;
+};
+
+type Placed<Entry> = Keyed & { readonly place: Place<Entry> };
 
-type Rank = { readonly group: number; readonly dueAt: number };
+/** Tells which requests `findNext` looks for. */
+export type Wanted<Entry> = {
+  /** Whether any requests of this account and kind are wanted, of which one is given. */
+  readonly wantsLane: (sample: Entry, isRetry: boolean) => boolean;
+  readonly wantsRetry: (entry: Entry) => boolean;
+};
+
+function computeLateKey({ targetAt, expectedAttemptMs }: QueuedRequest): number {
+  return targetAt - expectedAttemptMs * LATE_FACTOR;
+}
 
-function computeRank(request: QueuedRequest, now: number): Rank {
-  const { priority, targetAt, latestSendAt, expectedAttemptMs, isRetry } = request;
-  if (isRetry) return { group: RETRY_GROUP, dueAt: latestSendAt };
-  const isLate = now + expectedAttemptMs * LATE_FACTOR > targetAt;
-  const dueAt = (isLate ? latestSendAt : targetAt) + priority * PRIORITY_STEP_MS;
-  return { group: isLate ? LATE_GROUP : IN_TIME_GROUP, dueAt };
+function computeDueAt(
+  { isRetry, priority, targetAt, latestSendAt }: QueuedRequest,
+  isLate: boolean,
+): number {
+  if (isRetry) return latestSendAt;
+  return (isLate ? latestSendAt : targetAt) + priority * PRIORITY_STEP_MS;
 }
 
-function compareRanks(left: Rank, right: Rank): number {
-  return left.group - right.group || left.dueAt - right.dueAt;
+function buildLaneKey({ accountName, priority, isRepeatable }: QueuedRequest): string {
+  return `${priority}|${isRepeatable ?? ''}|${accountName ?? ''}`;
+}
+
+function compareRanked(left: RankedEntry<unknown>, right: RankedEntry<unknown>): number {
+  return left.group - right.group || left.key - right.key || left.serial - right.serial;
+}
+
+function goesFirst(left: RankedEntry<unknown>, right: RankedEntry<unknown> | undefined): boolean {
+  return right === undefined || compareRanked(left, right) < 0;
 }
 
 export class RequestQueue<Entry extends QueuedRequest> {
-  readonly #entries = new Map<string, Entry>();
+  readonly #shouldYield: (entry: QueuedRequest) => boolean;
+
+  readonly #places = new Map<string, Place<Entry>>();
+
+  readonly #lanes = new Map<string, QueueLane<Entry>>();
+
+  /** Requests that are not late yet, by the time at which they will be. */
+  readonly #becomingLate = new SortedList<Placed<Entry>>();
+
+  readonly #expiring = new SortedList<Placed<Entry>>();
+
+  #serial = 0;
+
+  /** Whether the requests of an account and priority, of which one is given, have to yield. */
+  constructor(shouldYield: (entry: QueuedRequest) => boolean = () => false) {
+    this.#shouldYield = shouldYield;
+  }
 
   get size(): number {
-    return this.#entries.size;
+    return this.#places.size;
   }
 
   add(entry: Entry): void {
-    this.#entries.set(entry.id, entry);
+    this.remove(entry.id);
+    this.#serial += 1;
+    const serial = this.#serial;
+    const lane = this.#getLane(entry);
+    const lateKey = entry.isRetry ? undefined : computeLateKey(entry);
+    const place = { lane, serial, entry, lateKey };
+    this.#places.set(entry.id, place);
+    this.#expiring.add({ key: entry.latestSendAt, serial, place });
+    const placed = { key: computeDueAt(entry, false), serial, entry };
+    if (lateKey === undefined) lane.retries.add(placed);
+    else {
+      lane.inTime.add(placed);
+      this.#becomingLate.add({ key: lateKey, serial, place });
+    }
   }
 
   /** Removes a request; returns whether it was queued. */
   remove(id: string): boolean {
-    return this.#entries.delete(id);
+    const place = this.#places.get(id);
+    if (!place) return false;
+    const { lane, serial, entry, lateKey } = place;
+    this.#places.delete(id);
+    this.#expiring.remove({ key: entry.latestSendAt, serial });
+    if (lateKey !== undefined) this.#becomingLate.remove({ key: lateKey, serial });
+    const soon = { key: computeDueAt(entry, false), serial };
+    if (lateKey === undefined) lane.retries.remove(soon);
+    else {
+      lane.inTime.remove(soon);
+      lane.late.remove({ key: computeDueAt(entry, true), serial });
+    }
+    if (lane.size === 0) this.#lanes.delete(buildLaneKey(entry));
+    return true;
   }
 
   /** Lists the queued requests in the order in which they would be served. */
   list(now: number): readonly Entry[] {
-    return [...this.#entries.values()]
-      .map((entry) => ({ entry, rank: computeRank(entry, now) }))
-      .sort((left, right) => compareRanks(left.rank, right.rank))
+    this.#refresh(now);
+    return [...this.#lanes.values()]
+      .flatMap((lane) => lane.list(this.#shouldYield(lane.sample)))
+      .sort(compareRanked)
       .map(({ entry }) => entry);
   }
 
+  /** Finds the request to serve next among those that are wanted. */
+  findNext(now: number, wanted: Wanted<Entry>): Entry | undefined {
+    this.#refresh(now);
+    const first = [...this.#lanes.values()].reduce<RankedEntry<Entry> | undefined>((best, lane) => {
+      const next = this.#findFirst(lane, wanted);
+      return next && goesFirst(next, best) ? next : best;
+    }, undefined);
+    return first?.entry;
+  }
+
   /** Counts the queued requests that would be served before a request that is added now. */
   countAhead(request: QueuedRequest, now: number): number {
-    const rank = computeRank(request, now);
-    return [...this.#entries.values()].filter(
-      (entry) => compareRanks(computeRank(entry, now), rank) <= 0,
-    ).length;
+    this.#refresh(now);
+    const isLate = !request.isRetry && now > computeLateKey(request);
+    const key = computeDueAt(request, isLate);
+    const isYielding = this.#shouldYield(request);
+    return [...this.#lanes.values()].reduce((sum, lane) => {
+      if (request.isRetry) return sum + lane.retries.countUpTo(key);
+      const laneYields = this.#shouldYield(lane.sample);
+      return sum + lane.countAhead(laneYields, { isYielding, isLate, key });
+    }, 0);
   }
 
   /** Removes and returns the requests whose latest send time has passed. */
   takeExpired(now: number): readonly Entry[] {
-    const expired = [...this.#entries.values()].filter(({ latestSendAt }) => latestSendAt <= now);
-    expired.forEach(({ id }) => this.#entries.delete(id));
-    return expired;
+    const expired = this.#expiring
+      .list()
+      .slice(0, this.#expiring.countUpTo(now))
+      .map(({ place }) => place)
+      .sort((left, right) => left.serial - right.serial);
+    expired.forEach(({ entry }) => this.remove(entry.id));
+    return expired.map(({ entry }) => entry);
+  }
+
+  #findFirst(
+    lane: QueueLane<Entry>,
+    { wantsLane, wantsRetry }: Wanted<Entry>,
+  ): RankedEntry<Entry> | undefined {
+    const { sample } = lane;
+    const retry =
+      lane.retries.size > 0 && wantsLane(sample, true)
+        ? lane.retries.list().find(({ entry }) => wantsRetry(entry))
+        : undefined;
+    if (retry) return { ...retry, group: RETRY_GROUP };
+    return wantsLane(sample, false) ? lane.findFirst(this.#shouldYield(sample)) : undefined;
+  }
+
+  #getLane(entry: Entry): QueueLane<Entry> {
+    const key = buildLaneKey(entry);
+    const known = this.#lanes.get(key);
+    if (known) return known;
+    const lane = new QueueLane(entry);
+    this.#lanes.set(key, lane);
+    return lane;
+  }
+
+  /** Moves the requests that have become late. */
+  #refresh(now: number): void {
+    this.#becomingLate
+      .takeFirst(this.#becomingLate.countBelow(now))
+      .forEach(({ serial, place: { lane, entry } }) => {
+        lane.inTime.remove({ key: computeDueAt(entry, false), serial });
+        lane.late.add({ key: computeDueAt(entry, true), serial, entry });
+      });
   }
 }
--- a/packages/core/src/retries/sliding-window-retry-budget.test.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.test.ts
@@ -24,7 +24,7 @@
     windowMs: WINDOW_MS,
     ratio: RATIO,
     fleetSlack,
-    countDaemons,
+    getSlackShare: () => 1 / countDaemons(),
   };
   const daemons = Array.from(
     { length: daemonCount },
@@ -85,7 +85,7 @@
   it('grows with the accepted requests and frees used retries as the window slides', () => {
     let now = 0;
     const budget = new SlidingWindowRetryBudget(
-      { windowMs: 1000, ratio: 0.5, fleetSlack: 0, countDaemons: () => 1 },
+      { windowMs: 1000, ratio: 0.5, fleetSlack: 0, getSlackShare: () => 1 },
       { now: () => now },
     );
     expect(budget.takeRetry()).to.equal(false);
--- a/packages/core/src/retries/sliding-window-retry-budget.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.ts
@@ -4,8 +4,11 @@
  * Load pattern: all upstreams of a service refuse requests, so that every daemon wants to retry all
  * of its requests at once. Users allow a number of retries per request of a sliding window, plus a
  * fixed slack for the fleet. Each daemon applies the ratio to the requests that it has accepted
- * itself, and takes an equal share of the slack among all daemons that may exist. The sum stays
- * within the bound through partitions and restarts.
+ * itself, and takes its share of the slack. The sum stays within the bound through partitions and
+ * restarts.
+ *
+ * While retries are scarce, a request leaves a part of the budget to the requests of more urgent
+ * kinds, and one that was shed twice leaves a part to those that were shed once.
  */
 import type { Clock } from '../runtime/index.js';
 
@@ -15,16 +18,55 @@
   readonly ratio: number;
   /** Additional retries per window for the whole fleet. */
   readonly fleetSlack: number;
-  /** Counts the daemons that share the slack: all that may accept requests. */
-  readonly countDaemons: () => number;
+  /** Returns the part of the slack that this daemon may use now, from 0 to 1. */
+  readonly getSlackShare: () => number;
+};
+
+/** What decides whether a request may take a retry while few are left. */
+export type RetryClaim = {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Number of times that upstreams have shed the request. */
+  readonly shedCount: number;
 };
 
 /** Number of buckets that count the events of one window. */
 const BUCKETS_PER_WINDOW = 20;
-/** Share of the bound that is used, since counted windows and those of the bound may not align. */
-const SAFETY_FACTOR = 0.9;
+/** Share of the ratio that is used, since counted windows and those of the bound may not align. */
+const RATIO_SAFETY_FACTOR = 0.9;
+/** Share of the slack that is used: a retry may reach its upstream later than others after it. */
+const SLACK_SAFETY_FACTOR = 0.95;
+/** Requests that were shed this often leave a part of the budget to the others. */
+const OFTEN_SHED_COUNT = 2;
+/** Part of the budget that they leave. */
+const OFTEN_SHED_RESERVE = 0.25;
+/** No request leaves more than this part of the budget to others. */
+const MAX_RESERVE = 0.75;
+/** Share of the expected requests that a forecast of the budget relies on. */
+const FORECAST_FACTOR = 0.8;
+
+const FIRST_CLAIM: RetryClaim = { priority: 0, shedCount: 1 };
+
+type Bucket = {
+  readonly index: number;
+  /** Requests by priority. */
+  readonly requests: ReadonlyMap<number, number>;
+  readonly retries: number;
+};
+
+type Usage = { readonly allowed: number; readonly used: number };
+
+function countRequests({ requests }: Bucket): number {
+  return [...requests.values()].reduce((sum, count) => sum + count, 0);
+}
+
+function sumRequests(buckets: readonly Bucket[]): number {
+  return buckets.reduce((sum, bucket) => sum + countRequests(bucket), 0);
+}
 
-type Bucket = { readonly index: number; readonly requests: number; readonly retries: number };
+function sumRetries(buckets: readonly Bucket[]): number {
+  return buckets.reduce((sum, { retries }) => sum + retries, 0);
+}
 
 export class SlidingWindowRetryBudget {
   readonly #clock: Clock;
@@ -38,35 +80,81 @@
     this.#clock = clock;
   }
 
-  recordRequest(): void {
-    this.#add(1, 0);
+  recordRequest(priority = 0): void {
+    const { index, requests, retries } = this.#getCurrentBucket();
+    const counts = new Map(requests).set(priority, (requests.get(priority) ?? 0) + 1);
+    this.#putBucket({ index, requests: counts, retries });
   }
 
-  /** Takes one retry out of the budget; returns false if none is left. */
-  takeRetry(): boolean {
-    if (this.countRetriesLeft() < 1) return false;
-    this.#add(0, 1);
+  /** Takes one retry out of the budget; returns false if none is left for the request. */
+  takeRetry(claim: RetryClaim = FIRST_CLAIM, ahead = 0): boolean {
+    if (this.countRetriesLeft(claim) < 1 + ahead) return false;
+    const bucket = this.#getCurrentBucket();
+    this.#putBucket({ ...bucket, retries: bucket.retries + 1 });
     return true;
   }
 
-  /** Returns the number of retries left; it may be a fraction, or negative. */
-  countRetriesLeft(): number {
-    const { allowed, used } = this.#computeUsage();
-    return allowed - used;
+  /** Returns the number of retries left for a request; it may be a fraction, or negative. */
+  countRetriesLeft(claim: RetryClaim = FIRST_CLAIM): number {
+    const buckets = this.#listCurrentBuckets();
+    const { allowed, used } = this.#computeUsage(buckets);
+    return allowed * (1 - this.#computeReserve(buckets, claim)) - used;
   }
 
   /** Returns the share of the budget that is left, from 0 to 1. */
   getShareLeft(): number {
-    const { allowed, used } = this.#computeUsage();
+    const { allowed, used } = this.#computeUsage(this.#listCurrentBuckets());
     return allowed < 1 ? 0 : Math.max(0, (allowed - used) / allowed);
   }
 
-  #computeUsage(): { readonly allowed: number; readonly used: number } {
-    const { ratio, fleetSlack, countDaemons } = this.#settings;
+  /** Whether retries were taken lately faster than the budget returns. */
+  get isRunningDown(): boolean {
+    const buckets = this.#listCurrentBuckets();
+    const { allowed } = this.#computeUsage(buckets);
+    const oldestIndex = this.#computeBucketIndex() - 1;
+    const recent = buckets.filter(({ index }) => index >= oldestIndex);
+    return (sumRetries(recent) * BUCKETS_PER_WINDOW) / 2 > allowed;
+  }
+
+  /**
+   * Computes in how many milliseconds the budget is expected to cover a request's retry and `ahead`
+   * others before it; undefined if the retries that leave the window never suffice.
+   */
+  computeReturnMs(claim: RetryClaim, ahead: number): number | undefined {
+    const { windowMs } = this.#settings;
+    const now = this.#clock.now();
+    const bucketMs = windowMs / BUCKETS_PER_WINDOW;
     const buckets = this.#listCurrentBuckets();
-    const requests = buckets.reduce((sum, bucket) => sum + bucket.requests, 0);
-    const used = buckets.reduce((sum, bucket) => sum + bucket.retries, 0);
-    return { allowed: (requests * ratio + fleetSlack / countDaemons()) * SAFETY_FACTOR, used };
+    const requestsPerMs = (sumRequests(buckets) / windowMs) * FORECAST_FACTOR;
+    const reserve = this.#computeReserve(buckets, claim);
+    const isCovered = (afterMs: number): boolean => {
+      const oldestIndex = Math.floor((now + afterMs) / bucketMs) - BUCKETS_PER_WINDOW;
+      const kept = buckets.filter(({ index }) => index >= oldestIndex);
+      const { allowed, used } = this.#computeUsage(kept, requestsPerMs * afterMs);
+      return allowed * (1 - reserve) - used >= 1 + ahead;
+    };
+    return [0, ...buckets.map(({ index }) => (index + BUCKETS_PER_WINDOW + 1) * bucketMs - now)]
+      .filter((afterMs) => afterMs >= 0)
+      .find(isCovered);
+  }
+
+  #computeUsage(buckets: readonly Bucket[], expectedRequests = 0): Usage {
+    const { ratio, fleetSlack, getSlackShare } = this.#settings;
+    const requests = sumRequests(buckets) + expectedRequests;
+    const allowed =
+      requests * ratio * RATIO_SAFETY_FACTOR + fleetSlack * getSlackShare() * SLACK_SAFETY_FACTOR;
+    return { allowed, used: sumRetries(buckets) };
+  }
+
+  /** The part of the budget that a request leaves: to more urgent kinds as many of them arrive. */
+  #computeReserve(buckets: readonly Bucket[], { priority, shedCount }: RetryClaim): number {
+    const total = sumRequests(buckets);
+    const urgent = buckets
+      .flatMap(({ requests }) => [...requests])
+      .reduce((sum, [other, count]) => (other < priority ? sum + count : sum), 0);
+    const forUrgent = total === 0 ? 0 : urgent / total;
+    const forOthers = shedCount >= OFTEN_SHED_COUNT ? OFTEN_SHED_RESERVE : 0;
+    return Math.min(MAX_RESERVE, forUrgent + forOthers);
   }
 
   #computeBucketIndex(): number {
@@ -78,14 +166,14 @@
     return this.#buckets.filter(({ index }) => index >= oldestIndex);
   }
 
-  #add(requests: number, retries: number): void {
+  #getCurrentBucket(): Bucket {
     const index = this.#computeBucketIndex();
     const last = this.#buckets.at(-1);
-    if (last?.index === index) {
-      const merged = { index, requests: last.requests + requests, retries: last.retries + retries };
-      this.#buckets = [...this.#buckets.slice(0, -1), merged];
-      return;
-    }
-    this.#buckets = [...this.#listCurrentBuckets(), { index, requests, retries }];
+    return last?.index === index ? last : { index, requests: new Map(), retries: 0 };
+  }
+
+  #putBucket(bucket: Bucket): void {
+    const earlier = this.#listCurrentBuckets().filter(({ index }) => index < bucket.index);
+    this.#buckets = [...earlier, bucket];
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import { DispatcherReports, formatReport, ReportInbox } from './reports/index.js';
 import type { DispatcherReport, ReportAudience } from './reports/index.js';
 import type { RequestEnd, RoutedRequest, ServedRequest } from './requests/index.js';
+import { FleetRetrySlack } from './retry-slack/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
 import { UpstreamLinkMonitor } from './upstream-links/index.js';
@@ -63,11 +64,6 @@
 const TRAFFIC_LOG_INTERVAL_MS = 10_000;
 /** How long a daemon that is not a dispatcher collects record changes before it applies them. */
 const IDLE_REFRESH_DELAY_MS = 300;
-/**
- * Lower bound of the number of daemons by which the fleet's retry slack is divided. A daemon that has
- * just started or is partitioned knows only few of the others and would take too large a part.
- */
-const MIN_DAEMON_COUNT = 64;
 const MS_PER_SECOND = 1000;
 
 const PURPOSE_BY_TAG: Readonly<Record<DatagramTag, TrafficPurpose>> = {
@@ -114,6 +110,8 @@
 
   readonly #rateLimits: FleetRateLimits;
 
+  readonly #retrySlack: FleetRetrySlack;
+
   readonly #quarantine: FleetQuarantine;
 
   readonly #linkMonitor: UpstreamLinkMonitor;
@@ -169,6 +167,13 @@
       socket: this.#fleetSocket,
       services: this.#services,
     });
+    this.#retrySlack = new FleetRetrySlack({
+      clock: this.#clock,
+      log: this.#log,
+      settings,
+      fleet: this.#fleet,
+      getVisiblePart: () => this.#rateLimits.getVisiblePart(),
+    });
     this.#quarantine = new FleetQuarantine({
       clock: this.#clock,
       random: this.#random,
@@ -346,6 +351,7 @@
     this.#recordExchange.runTick();
     this.#services.runTick();
     this.#rateLimits.runTick();
+    this.#retrySlack.runTick();
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
@@ -387,7 +393,7 @@
       dialect: this.#platform.http,
       heldBytes: this.#heldBytes,
       replica: this.#replica,
-      countDaemons: () => Math.max(MIN_DAEMON_COUNT, this.#fleet.countExpectedDaemons()),
+      getRetrySlackShare: () => this.#retrySlack.getShare(),
       hasDispatcher: (dataCentre) => this.#fleet.roles.listDispatchers(dataCentre).length > 0,
       onStep: (request, step) => this.#recorder.recordStep(request, step),
       onOutcome: (event) => this.#reports.recordOutcome(event),
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -64,6 +64,9 @@
         limitedAttempts.inc({ service, upstream: String(upstream) }),
       );
     }
+    if (name === 'hopeless') {
+      this.#record(({ refusedWaits }) => refusedWaits.inc({ service, reason: String(reason) }));
+    }
     if (FAILED_STEPS.includes(name)) this.#recordFailure(service, name);
     if (name === 'answered' && Number(status) >= SERVER_ERROR_STATUS) {
       this.#recordFailure(service, String(status));
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -17,6 +17,10 @@
   readonly queuedRequests: number;
   /** Remaining part of the retry budget, from 0 to 1. */
   readonly retryBudgetShare: number;
+  /** Part of the fleet's slack that this daemon may use, from 0 to 1. */
+  readonly retrySlackShare: number;
+  /** Client accounts that have got more than their share of the service. */
+  readonly accountsOverShare: number;
   readonly upstreams: Readonly<Record<UpstreamCondition, number>>;
   /** Upstreams that have stated a rate limit, in any condition. */
   readonly limitedUpstreams: number;
@@ -78,6 +82,12 @@
     ['service', 'cause'],
   );
 
+  readonly refusedWaits = this.#createCounter(
+    'baobabline_refused_waits_total',
+    'Requests refused since they could not wait for a slot or a retry, by reason',
+    ['service', 'reason'],
+  );
+
   readonly cutRequests = this.#createCounter(
     'baobabline_stop_cut_requests_total',
     'Requests that a planned stop has cut, by the phase that they were in',
@@ -186,33 +196,51 @@
           ),
         ),
     });
-    const limited: Gauge = new Gauge({
-      name: 'baobabline_limited_upstreams',
-      help: 'Upstreams that have stated a rate limit',
-      labelNames: ['service'],
-      registers: [this.registry],
-      collect: () =>
-        listServices().forEach((row) =>
-          limited.set({ service: row.service }, row.limitedUpstreams),
-        ),
-    });
-    const queued: Gauge = new Gauge({
-      name: 'baobabline_waiting_requests',
-      help: 'Requests that wait for room',
-      labelNames: ['service'],
-      registers: [this.registry],
-      collect: () =>
-        listServices().forEach((row) => queued.set({ service: row.service }, row.queuedRequests)),
-    });
-    const retryBudget: Gauge = new Gauge({
-      name: 'baobabline_repeat_allowance_share',
-      help: 'Part of the allowance for repeats that is left',
+    this.#registerServiceGauge(
+      'baobabline_limited_upstreams',
+      'Upstreams that have stated a rate limit',
+      listServices,
+      (row) => row.limitedUpstreams,
+    );
+    this.#registerServiceGauge(
+      'baobabline_waiting_requests',
+      'Requests that wait for room',
+      listServices,
+      (row) => row.queuedRequests,
+    );
+    this.#registerServiceGauge(
+      'baobabline_repeat_allowance_share',
+      'Part of the allowance for repeats that is left',
+      listServices,
+      (row) => row.retryBudgetShare,
+    );
+    this.#registerServiceGauge(
+      'baobabline_retry_slack_share',
+      "Part of the fleet's slack for retries that this daemon may use",
+      listServices,
+      (row) => row.retrySlackShare,
+    );
+    this.#registerServiceGauge(
+      'baobabline_accounts_over_share',
+      'Client accounts that have got more than their share of a service that is short of slots',
+      listServices,
+      (row) => row.accountsOverShare,
+    );
+  }
+
+  #registerServiceGauge(
+    name: string,
+    help: string,
+    listServices: () => readonly ServiceMetrics[],
+    read: (row: ServiceMetrics) => number,
+  ): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
       labelNames: ['service'],
       registers: [this.registry],
       collect: () =>
-        listServices().forEach((row) =>
-          retryBudget.set({ service: row.service }, row.retryBudgetShare),
-        ),
+        listServices().forEach((row) => gauge.set({ service: row.service }, read(row))),
     });
   }
 
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -91,7 +91,8 @@
       peerLoads: new PeerLoads(clock),
       dataCentre: 'z1',
       hasDispatcher: () => true,
-      allowance: { windowMs: 10_000, ratio: 0.2, fleetSlack, countDaemons: () => 1 },
+      allowance: { windowMs: 10_000, ratio: 0.2, fleetSlack, getSlackShare: () => 1 },
+      findOwnPart: () => undefined,
       createUpstream: (record) => new UpstreamState(record, createPool(record.id), 0),
       onAnswer: () => undefined,
       onTrustChange: () => undefined,
@@ -321,12 +322,12 @@
     setAll('hang');
     const holders = [1, 2, 3].map(() => start('unsafe', { timeoutMs: 5000 }));
     const [first] = [1, 2, 3].map(() => start('unsafe', { timeoutMs: 900 }, 'none'));
-    expect(desk.waitingCount).to.equal(3);
+    expect(desk.queue.size).to.equal(3);
     first?.cancel();
-    expect(desk.waitingCount).to.equal(2);
+    expect(desk.queue.size).to.equal(2);
     holders.forEach((holder) => holder.cancel());
     await wait(40);
-    expect([sent.length, desk.waitingCount]).to.deep.equal([5, 0]);
+    expect([sent.length, desk.queue.size]).to.deep.equal([5, 0]);
   });
 
   it('goes to an upstream that has started again, whatever befell its earlier start', async () => {
@@ -396,7 +397,7 @@
       start('safe', { timeoutMs: 5000 });
       await wait(20);
       expect(new Set(sent)).to.deep.equal(new Set(['u2', 'u3']));
-      expect(desk.waitingCount).to.equal(1);
+      expect(desk.queue.size).to.equal(1);
       desk.applyRecords(['u1', 'u2', 'u3'].map((id) => buildUpstreamRecord(id)));
       await wait(800);
       setAll(SHED);
@@ -467,7 +468,7 @@
 
     it('counts its slots as those of a draining record', () => {
       const describe = (): unknown =>
-        desk.describeQueueState({
+        desk.queue.describeState({
           id: 'q',
           arrivedAt: now,
           targetAt: now + 100,
@@ -554,11 +555,11 @@
       };
       const holders = [1, 2, 3].map(() => start('unsafe', { timeoutMs: 5000 }));
       start('unsafe', { timeoutMs: 5000 });
-      expect(desk.waitingCount).to.equal(1);
+      expect(desk.queue.size).to.equal(1);
       isQuarantined = true;
       holders[0]?.cancel();
       await wait(40);
-      expect([sent.length, desk.waitingCount, describeEnd()]).to.deep.equal([3, 0, '503 not-run']);
+      expect([sent.length, desk.queue.size, describeEnd()]).to.deep.equal([3, 0, '503 not-run']);
       holders.forEach((holder) => holder.cancel());
     });
 
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -3,60 +3,28 @@
  * that is safe and the retry budget allows it. It ends by its deadline, with an answer or an error
  * that never says "not run" if an attempt may have run.
  */
-import { createRefusal, drawRetryAfterMs, isRepeatableKind, MAX_TIMER_MS } from '@baobabline/core';
-import type {
-  Clock,
-  PlacementChoice,
-  RandomSource,
-  RequestError,
-  QueuedRequest,
+import {
+  createRefusal,
+  drawRetryAfterMs,
+  drawReturnAfterShedMs,
+  isRepeatableKind,
+  MAX_TIMER_MS,
 } from '@baobabline/core';
+import type { PlacementChoice, RequestError, RetryClaim } from '@baobabline/core';
 
-import type { HttpDialect } from '../dialect/index.js';
-import type { ExchangeEnd, UpstreamAnswer, UpstreamConnection } from '../upstreams/index.js';
-import type { AttemptTimes } from './attempt-times.js';
+import type { ExchangeEnd, UpstreamAnswer } from '../upstreams/index.js';
 import { buildRequestHead } from './request-head.js';
-import type { CrashGuard } from './crash-guard.js';
+import { buildQueueEntry } from './queue-entry.js';
+import type { QueueEntry } from './queue-entry.js';
+import type { Attempt, RequestRunDependencies } from './request-run-types.js';
+import type { RefusalReason, WaitEnds } from './service-queue.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
 
-export type RequestRunDependencies = {
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly dialect: HttpDialect;
-  readonly times: AttemptTimes;
-  /** Called when the number of requests in flight has changed. */
-  readonly onLoadChange: () => void;
-  readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
-  readonly crashGuard: CrashGuard;
-  /** Returns why a request may no longer be sent; its key may have been removed while it waited. */
-  readonly checkCaller: (request: RoutedRequest) => RequestError | undefined;
-  /** Called with the size of a request or an answer in bytes, and the upstream's data centre. */
-  readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
-};
-
-type Attempt = {
-  readonly upstreamId: string;
-  readonly state: UpstreamState;
-  readonly startedAt: number;
-  readonly isHedge: boolean;
-  connection: UpstreamConnection | undefined;
-  overdueTimer: NodeJS.Timeout | undefined;
-};
-
 const SERVER_ERROR_STATUS = 500;
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 const MS_PER_SECOND = 1000;
-/** An attempt that takes this many times the mean counts as a failure of its upstream. */
-const OVERDUE_FACTOR = 4;
-const MIN_OVERDUE_MS = 500;
-/** A repeatable request is hedged after this many times the mean attempt time. */
-const HEDGE_FACTOR = 2.5;
-const MIN_HEDGE_MS = 120;
-/** A queued request must be sent this share of a mean attempt time before its deadline. */
-const SHORTEST_ATTEMPT_SHARE = 0.5;
-const MIN_ATTEMPT_MS = 20;
 /** Another daemon can take what this one has not passed on as it stops. */
 const STOP_RETRY_MS = 50;
 /** Statuses of an upstream that shed the request, if the answer also states that it did not run. */
@@ -76,6 +44,9 @@
   /** Attempts that reached, or may have reached, an upstream. */
   #sentCount = 0;
 
+  /** How often upstreams have shed it. */
+  #shedCount = 0;
+
   #attempts: readonly Attempt[] = [];
 
   #isDone = false;
@@ -105,13 +76,15 @@
   }
 
   start(): void {
-    this.#scheduler.recordArrival();
+    this.#scheduler.queue.recordArrival(this.#request);
     if (this.#timeLeft <= 0) {
-      this.#refuse('noCapacity');
+      this.#fail('noCapacity');
       return;
     }
     const waitMs = Math.min(Math.max(0, this.#timeLeft), MAX_TIMER_MS);
     this.#endTimer = setTimeout(() => this.#handleTimeUp(), waitMs);
+    // A slot that has become free goes to the requests that wait.
+    this.#scheduler.queue.serve();
     if (!this.#tryPlace()) this.#waitOrRefuse();
   }
 
@@ -182,58 +155,63 @@
 
   #waitOrRefuse(): void {
     if (!this.#scheduler.hasUsable(this.#tried)) {
-      this.#refuse('noUpstream');
+      this.#fail('noUpstream');
       return;
     }
-    const waiting = this.#buildWaiting();
-    const verdict = this.#scheduler.judgeWait(waiting);
+    const { queue } = this.#scheduler;
+    const entry = this.#buildEntry();
+    const verdict = queue.judgeWait(entry);
     if (verdict.kind === 'refuse') {
-      this.#refuseHopeless(waiting, verdict.retryAfterMs);
+      this.#refuseHopeless(entry, verdict.reason, verdict.retryAfterMs);
       return;
     }
-    this.#ticket = this.#scheduler.wait({
-      ...waiting,
-      isRepeatable: this.#isRepeatable,
+    this.#ticket = queue.wait({
+      ...entry,
+      ...this.#buildWaitEnds(entry),
       tryPlace: () => this.#tryPlace(),
-      onExpired: () => this.#refuse('noCapacity'),
-      onHopeless: (retryAfterMs) => this.#refuseHopeless(waiting, retryAfterMs),
     });
-    this.#record({ step: 'waiting', ahead: this.#scheduler.waitingCount - 1 });
+    this.#record({ step: 'waiting', ahead: queue.size - 1 });
+  }
+
+  #buildWaitEnds(entry: QueueEntry): WaitEnds {
+    return {
+      onExpired: () => this.#refuseHopeless(entry, 'expired'),
+      onHopeless: (reason, retryAfterMs) => this.#refuseHopeless(entry, reason, retryAfterMs),
+    };
   }
 
   #refuseQuarantined(retryAfterMs: number): void {
     const { fingerprint } = this.#request;
     this.#record({ step: 'quarantined', fingerprint, retryAfterMs, sent: this.#sentCount });
-    this.#refuse('requestHeldBack', retryAfterMs);
+    this.#fail('requestHeldBack', retryAfterMs);
   }
 
-  #refuseHopeless(waiting: QueuedRequest, retryAfterMs: number): void {
+  #refuseHopeless(
+    entry: QueueEntry,
+    reason: RefusalReason,
+    retryAfterMs = this.#drawRetryAfterMs(),
+  ): void {
+    this.#scheduler.queue.recordRefused(this.#request, reason);
     this.#record({
       step: 'hopeless',
+      reason,
       retryAfterMs,
-      ...this.#scheduler.describeQueueState(waiting),
+      ...this.#scheduler.queue.describeState(entry),
+      withoutPermit: this.#scheduler.countWithoutPermit(),
     });
-    this.#refuse('noCapacity', retryAfterMs);
+    this.#fail(reason === 'retry-budget' ? 'upstreamsShed' : 'noCapacity', retryAfterMs);
   }
 
-  #buildWaiting(): QueuedRequest {
-    const { id, arrivedAt, endAt, priority, route } = this.#request;
-    const usualAttemptMs = this.#dependencies.times.getMeanMs(route.id);
-    return {
-      id,
-      arrivedAt,
-      expectedAttemptMs: usualAttemptMs,
-      isRetry: this.#tried.size > 0,
-      priority,
-      targetAt: arrivedAt + route.targetLatencyMs,
-      latestSendAt: endAt - Math.max(MIN_ATTEMPT_MS, usualAttemptMs * SHORTEST_ATTEMPT_SHARE),
-    };
+  #buildEntry(): QueueEntry {
+    const usualAttemptMs = this.#dependencies.times.getMeanMs(this.#request.route.id);
+    return buildQueueEntry(this.#request, usualAttemptMs, this.#tried.size > 0);
   }
 
   #launch({ upstreamId, reason }: PlacementChoice, isHedge: boolean): void {
     const state = this.#scheduler.find(upstreamId);
     if (!state) return;
     this.#ticket = undefined;
+    if (this.#tried.size === 0) this.#scheduler.queue.recordServed(this.#request);
     this.#tried.add(upstreamId);
     this.#sentCount += 1;
     this.#scheduler.recordStart(state);
@@ -283,8 +261,7 @@
   }
 
   #startOverdueTimer(upstreamId: string): NodeJS.Timeout {
-    const usual = this.#dependencies.times.getMeanMs(this.#request.route.id);
-    const overdueMs = Math.max(MIN_OVERDUE_MS, usual * OVERDUE_FACTOR);
+    const overdueMs = this.#dependencies.times.getOverdueMs(this.#request.route.id);
     return setTimeout(() => {
       this.#scheduler.recordNoAnswer(upstreamId, true);
       this.#record({ step: 'overdue', upstream: upstreamId, afterMs: Math.round(overdueMs) });
@@ -294,8 +271,7 @@
   #scheduleHedge(): void {
     if (!this.#isRepeatable) return;
     clearTimeout(this.#hedgeTimer);
-    const usual = this.#dependencies.times.getMeanMs(this.#request.route.id);
-    const delay = Math.max(MIN_HEDGE_MS, usual * HEDGE_FACTOR);
+    const delay = this.#dependencies.times.getHedgeDelayMs(this.#request.route.id);
     this.#hedgeTimer = setTimeout(() => this.#hedge(), delay);
   }
 
@@ -312,7 +288,7 @@
       bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
-    if (choice?.reason !== 'trusted' || !this.#scheduler.takeHedge()) return;
+    if (choice?.reason !== 'trusted' || !this.#scheduler.queue.takeHedge()) return;
     this.#launch(choice, true);
   }
 
@@ -321,7 +297,7 @@
     const elapsedMs = this.#now - attempt.startedAt;
     if (end.kind === 'answered') this.#handleAnswer(attempt, end.answer, end.isClosing, elapsedMs);
     else this.#handleFailure(attempt, end, elapsedMs);
-    this.#scheduler.serveQueue();
+    this.#scheduler.queue.serve();
   }
 
   #release(attempt: Attempt): void {
@@ -353,7 +329,7 @@
     this.#scheduler.recordAnswer(upstreamId, isGood, isGood ? startedAt : this.#now);
     if (isGood) {
       this.#dependencies.times.record(this.#request.route.id, elapsedMs);
-      this.#scheduler.recordAttemptTime(elapsedMs);
+      this.#scheduler.queue.recordAttemptTime(elapsedMs);
       this.#succeed(answer, upstreamId);
       return;
     }
@@ -365,11 +341,16 @@
   }
 
   #handleNotRun(state: UpstreamState, status: number): void {
-    if (SHED_STATUSES.includes(status)) state.recordShed(this.#now);
+    if (SHED_STATUSES.includes(status)) this.#recordShed(state);
     else state.recordLeaving();
     this.#tryAgainOrFail(true);
   }
 
+  #recordShed(state: UpstreamState): void {
+    this.#shedCount += 1;
+    this.#scheduler.recordShed(state);
+  }
+
   #handleFailure(
     { upstreamId, state }: Attempt,
     end: Exclude<ExchangeEnd, { kind: 'answered' }>,
@@ -408,12 +389,31 @@
   #tryAgainOrFail(isSafe: boolean, wasUnsent = false): void {
     if (this.#isDone || this.#attempts.length > 0) return;
     const isLeft = this.#sentCount < this.#request.route.maxAttempts && this.#timeLeft > 0;
-    const mayRepeat = isSafe && isLeft && (wasUnsent || this.#scheduler.allowance.takeRetry());
-    if (!mayRepeat) {
-      this.#fail();
-      return;
-    }
-    if (!this.#tryPlace()) this.#waitOrRefuse();
+    if (!isSafe || !isLeft) this.#fail();
+    else if (wasUnsent || this.#scheduler.queue.takeRetry(this.#claim)) this.#tryAgain();
+    else this.#waitForRetryOrRefuse();
+  }
+
+  get #claim(): RetryClaim {
+    return { priority: this.#request.priority, shedCount: this.#shedCount };
+  }
+
+  #tryAgain(): void {
+    this.#ticket = undefined;
+    if (!this.#isDone && !this.#tryPlace()) this.#waitOrRefuse();
+  }
+
+  /** Waits for the retry budget if it returns in time. */
+  #waitForRetryOrRefuse(): void {
+    const entry = this.#buildEntry();
+    this.#ticket = this.#scheduler.queue.waitForRetry({
+      ...entry,
+      ...this.#claim,
+      ...this.#buildWaitEnds(entry),
+      onGranted: () => this.#tryAgain(),
+    });
+    if (this.#ticket === undefined) this.#refuseHopeless(entry, 'retry-budget');
+    else this.#record({ step: 'waiting', ahead: this.#scheduler.queue.size - 1 });
   }
 
   #handleTimeUp(): void {
@@ -431,10 +431,6 @@
     this.#onEnd({ kind: 'answered', answer, upstreamId });
   }
 
-  #refuse(name: 'noUpstream' | 'noCapacity' | 'requestHeldBack', retryAfterMs?: number): void {
-    this.#fail(name, retryAfterMs);
-  }
-
   /** Ends without a good answer. If an attempt may have run, the error never says it did not. */
   #fail(
     name:
@@ -462,7 +458,10 @@
   #drawRetryAfterMs(): number {
     const callerLeft = Math.max(0, this.#request.callerEndAt - this.#now);
     const usual = this.#dependencies.times.getMeanMs(this.#request.route.id);
-    return drawRetryAfterMs(usual, callerLeft, this.#dependencies.random);
+    const { random } = this.#dependencies;
+    return this.#scheduler.isSheddingAtRandom
+      ? drawReturnAfterShedMs(usual, callerLeft, random)
+      : drawRetryAfterMs(usual, callerLeft, random);
   }
 
   /** Marks the request as done, clears its timers, leaves the queue and aborts its attempts. */
@@ -470,7 +469,7 @@
     this.#isDone = true;
     clearTimeout(this.#endTimer);
     clearTimeout(this.#hedgeTimer);
-    if (this.#ticket !== undefined) this.#scheduler.removeWaiting(this.#ticket);
+    if (this.#ticket !== undefined) this.#scheduler.queue.remove(this.#ticket);
     this.#attempts.forEach((attempt) => {
       attempt.connection?.abort();
       this.#release(attempt);
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -1,15 +1,8 @@
 /**
- * Schedules the requests of one service at one dispatcher: chooses upstreams, queues requests until
- * an upstream has a free slot, and keeps the retry budget.
+ * Schedules the requests of one service at one dispatcher: knows its upstreams, and chooses one for
+ * each attempt. The requests that wait are kept by its queue.
  */
-import {
-  ArrivalRate,
-  chooseNearFirst,
-  computeMaxFailureProbability,
-  checkAdmission,
-  RequestQueue,
-  SlidingWindowRetryBudget,
-} from '@baobabline/core';
+import { chooseNearFirst, ShedPauses } from '@baobabline/core';
 import type {
   Clock,
   PlacementCandidate,
@@ -21,14 +14,12 @@
   TrustChange,
   AttemptOutcome,
   FailureEstimator,
-  QueuedRequest,
-  QueueState,
-  AdmissionDecision,
   SlidingWindowRetryBudgetSettings,
 } from '@baobabline/core';
 
 import type { ServiceMetrics, UpstreamCondition } from '../metrics/index.js';
 import type { PeerLoads } from './peer-loads.js';
+import { ServiceQueue } from './service-queue.js';
 import type { UpstreamState } from './upstream-state.js';
 
 export type ServiceSchedulerDependencies = {
@@ -43,6 +34,8 @@
   /** Whether a data centre has a daemon that receives requests from callers. */
   readonly hasDispatcher: (dataCentre: string) => boolean;
   readonly allowance: SlidingWindowRetryBudgetSettings;
+  /** Returns this daemon's part of an account's requests; undefined if it is unknown. */
+  readonly findOwnPart: (accountName: string) => number | undefined;
   readonly createUpstream: (record: RegisteredUpstream) => UpstreamState;
   /** Called with the outcome of each answer that this dispatcher received. */
   readonly onAnswer: (judged: JudgedAnswer) => void;
@@ -64,17 +57,6 @@
   readonly change: TrustChange | undefined;
 };
 
-/** A queued request, with callbacks that place or refuse it. */
-export type QueuedPlacement = QueuedRequest & {
-  /** Whether it may run more than once. */
-  readonly isRepeatable: boolean;
-  /** Tries to place the request; returns whether it can leave the queue. */
-  readonly tryPlace: () => boolean;
-  readonly onExpired: () => void;
-  /** Called when the request could only be sent too late. */
-  readonly onHopeless: (retryAfterMs: number) => void;
-};
-
 export type PlacementNeeds = {
   readonly isRepeatable: boolean;
   readonly canTryAgain: boolean;
@@ -84,52 +66,24 @@
   readonly excluded: ReadonlySet<string>;
 };
 
-/** Test requests leave this share of the retry budget to requests that fail unexpectedly. */
-const MIN_BUDGET_SHARE_FOR_TESTS = 0.5;
-/** Hedges leave this share of the retry budget to requests that fail. */
-const MIN_BUDGET_SHARE_FOR_HEDGES = 0.3;
-const QUEUE_POLL_INTERVAL_MS = 10;
-/** How often the queue is checked for requests that can no longer be served in time. */
-const ADMISSION_RECHECK_INTERVAL_MS = 100;
-/** Assumed until the first attempt has ended. */
-const INITIAL_ATTEMPT_MS = 150;
-/** A computed slot count is reused for this long. */
-const SLOT_COUNT_MAX_AGE_MS = 20;
-/** Weight of the newest attempt in the moving average. */
-const NEWEST_WEIGHT = 0.05;
-
 export class ServiceScheduler {
   readonly name: string;
 
-  readonly allowance: SlidingWindowRetryBudget;
+  readonly queue: ServiceQueue;
 
   readonly #dependencies: ServiceSchedulerDependencies;
 
   readonly #upstreams = new Map<string, UpstreamState>();
 
-  readonly #queue = new RequestQueue<QueuedPlacement>();
-
-  #ticketCount = 0;
-
-  readonly #arrivals: ArrivalRate;
-
-  #meanAttemptMs = INITIAL_ATTEMPT_MS;
-
-  #room = { at: Number.NEGATIVE_INFINITY, slots: 0 };
-
-  #judgedAt = 0;
-
-  #poll: NodeJS.Timeout | undefined;
+  readonly #sheds = new ShedPauses();
 
   constructor(name: string, ports: ServiceSchedulerDependencies) {
     this.name = name;
     this.#dependencies = ports;
-    this.allowance = new SlidingWindowRetryBudget(ports.allowance, ports.clock);
-    this.#arrivals = new ArrivalRate(ports.clock);
-  }
-
-  get waitingCount(): number {
-    return this.#queue.size;
+    this.queue = new ServiceQueue({
+      ...ports,
+      countSlots: (now, meanAttemptMs) => this.#countSlots(now, meanAttemptMs),
+    });
   }
 
   listUpstreams(): readonly UpstreamState[] {
@@ -162,13 +116,8 @@
     // Requests that are withdrawn here are placed anew at once, so all records are applied before.
     dropped.forEach(({ pool }) => pool.close());
     this.#upstreams.forEach((state) => state.drainIfLeaving());
-    this.serveQueue();
-  }
-
-  /** Counts a new request towards the retry budget and the arrival rate. */
-  recordArrival(): void {
-    this.allowance.recordRequest();
-    this.#arrivals.recordArrival();
+    this.#sheds.keep(new Set(this.#upstreams.keys()));
+    this.queue.serve();
   }
 
   /** Summarizes the state of the service for metrics. */
@@ -178,8 +127,10 @@
       conditions.filter((condition) => condition === wanted).length;
     return {
       service: this.name,
-      queuedRequests: this.#queue.size,
-      retryBudgetShare: this.allowance.getShareLeft(),
+      queuedRequests: this.queue.size,
+      retryBudgetShare: this.queue.allowance.getShareLeft(),
+      retrySlackShare: this.#dependencies.allowance.getSlackShare(),
+      accountsOverShare: this.queue.accountsOverShare,
       limitedUpstreams: this.listUpstreams().filter(({ rateLimit }) => rateLimit.isLimited).length,
       upstreams: {
         trusted: count('trusted'),
@@ -197,9 +148,9 @@
     const choice = chooseNearFirst(
       {
         ...needs,
-        mayTest: this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_TESTS,
+        mayTest: this.queue.mayTest,
         computeMaxFailureProbability: () =>
-          computeMaxFailureProbability(this.#computeQueueState(this.#queue.size), needs.timeLeftMs),
+          this.queue.computeMaxFailureProbability(needs.timeLeftMs),
         dataCentre,
       },
       this.#listCandidates(needs, now, true),
@@ -219,22 +170,10 @@
     return usable.some(({ record }) => !links.isSuspect(record.id, now));
   }
 
-  /** Decides whether a request should be queued. */
-  judgeWait(request: QueuedRequest): AdmissionDecision {
-    const ahead = this.#queue.countAhead(request, this.#dependencies.clock.now());
-    return this.#judgeWaiting(request, this.#computeQueueState(ahead));
-  }
-
-  /** The state of the queue as a request joining it would find it, for the log. */
-  describeQueueState(request: QueuedRequest): QueueState & { readonly withoutPermit: number } {
+  /** Counts the upstreams whose rate limit permits no request now, for the log. */
+  countWithoutPermit(): number {
     const now = this.#dependencies.clock.now();
-    const withoutPermit = this.#listUsable(new Set()).filter(
-      (state) => !this.#hasPermit(state, now),
-    ).length;
-    return {
-      ...this.#computeQueueState(this.#queue.countAhead(request, now)),
-      withoutPermit,
-    };
+    return this.#listUsable(new Set()).filter((state) => !this.#hasPermit(state, now)).length;
   }
 
   /** Records that a request is sent to an upstream, which uses up a permit of its rate limit. */
@@ -258,41 +197,6 @@
     };
   }
 
-  /** Takes a hedge from the retry budget if enough of the budget is left. */
-  takeHedge(): boolean {
-    return (
-      this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_HEDGES && this.allowance.takeRetry()
-    );
-  }
-
-  /** Queues a request; returns what names its place, since several may bear the same id. */
-  wait(waiter: QueuedPlacement): string {
-    this.#ticketCount += 1;
-    const ticket = String(this.#ticketCount);
-    this.#queue.add({ ...waiter, id: ticket });
-    this.#startPolling();
-    return ticket;
-  }
-
-  removeWaiting(ticket: string): void {
-    this.#queue.remove(ticket);
-  }
-
-  /**
-   * Places queued requests while upstreams have free slots. If a first attempt finds no slot, later
-   * requests that are as repeatable as it is are skipped, since they would find none either.
-   */
-  serveQueue(): void {
-    if (this.#queue.size === 0) return;
-    const blocked = new Set<boolean>();
-    this.#queue.list(this.#dependencies.clock.now()).every((waiter) => {
-      if (blocked.has(waiter.isRepeatable)) return true;
-      if (waiter.tryPlace()) this.#queue.remove(waiter.id);
-      else if (!waiter.isRetry) blocked.add(waiter.isRepeatable);
-      return blocked.size < 2;
-    });
-  }
-
   /** Closes connections that have been idle for long, and probes failed links. */
   runTick(): void {
     this.#upstreams.forEach(({ pool }) => pool.runTick());
@@ -316,10 +220,23 @@
   recordAnswer(upstreamId: string, isGood: boolean, at: number): void {
     const { trust, onAnswer } = this.#dependencies;
     const wasSuspect = trust.isSuspect(upstreamId, at);
+    this.#sheds.recordServed(upstreamId, this.#dependencies.clock.now());
     const change = trust.record({ upstreamId, isGood, at });
     onAnswer({ upstreamId, isGood, at, wasSuspect, change });
   }
 
+  /** Records that an upstream shed a request, which had ended there when this is called. */
+  recordShed(state: UpstreamState): void {
+    const { id: upstreamId, slots } = state.record;
+    const inFlight = this.#countInFlight(state) + 1;
+    this.#sheds.recordShed({ upstreamId, at: this.#dependencies.clock.now(), inFlight, slots });
+  }
+
+  /** Whether most upstreams shed requests at random, also while they have free slots. */
+  get isSheddingAtRandom(): boolean {
+    return this.#sheds.hasRandomShedding(this.#dependencies.clock.now());
+  }
+
   /**
    * Records that no answer came, because the upstream stayed silent or the connection was lost. The
    * cause may be the link from this daemon, so the outcome is not reported to other dispatchers.
@@ -341,7 +258,7 @@
       this.#upstreams.get(upstreamId)?.pool.closeIdle();
       this.#dependencies.onFailure(upstreamId);
     }
-    if (change === 'trusted') this.serveQueue();
+    if (change === 'trusted') this.queue.serve();
   }
 
   /** Records the rate limit that an answer states; `sentAt` is when its request was sent. */
@@ -352,46 +269,6 @@
     if (change) onRateLimitChange(upstreamId, change);
   }
 
-  recordAttemptTime(elapsedMs: number): void {
-    this.#meanAttemptMs += (elapsedMs - this.#meanAttemptMs) * NEWEST_WEIGHT;
-  }
-
-  /** Polls, since no event tells when a peer frees a slot or an upstream's pause ends. */
-  #startPolling(): void {
-    this.#poll ??= setTimeout(() => {
-      this.#poll = undefined;
-      const now = this.#dependencies.clock.now();
-      this.#queue.takeExpired(now).forEach((waiter) => waiter.onExpired());
-      this.serveQueue();
-      this.#refuseHopeless(now);
-      if (this.#queue.size > 0) this.#startPolling();
-    }, QUEUE_POLL_INTERVAL_MS);
-  }
-
-  /** Refuses queued requests that can no longer be sent in time since slots have been lost. */
-  #refuseHopeless(now: number): void {
-    if (now - this.#judgedAt < ADMISSION_RECHECK_INTERVAL_MS) return;
-    this.#judgedAt = now;
-    const state = this.#computeQueueState(0);
-    this.#queue.list(now).forEach((waiter, ahead) => {
-      const verdict = this.#judgeWaiting(waiter, { ...state, waiting: ahead });
-      if (verdict.kind === 'wait') return;
-      this.#queue.remove(waiter.id);
-      waiter.onHopeless(verdict.retryAfterMs);
-    });
-  }
-
-  #judgeWaiting(
-    { targetAt, latestSendAt: giveUpAt, isRetry: isRepeat }: QueuedRequest,
-    state: QueueState,
-  ): AdmissionDecision {
-    const now = this.#dependencies.clock.now();
-    const timeLeftMs = giveUpAt - now;
-    // New requests never overtake a retry, even a late one.
-    const limits = { targetLeftMs: isRepeat ? timeLeftMs : targetAt - now, timeLeftMs };
-    return checkAdmission(state, limits, this.#dependencies.random);
-  }
-
   #describeUpstream({ isLeaving, record }: UpstreamState): UpstreamCondition {
     const { trust, links, clock } = this.#dependencies;
     const now = clock.now();
@@ -421,31 +298,21 @@
     return inFlight + this.#dependencies.peerLoads.count(reportName);
   }
 
-  /** The queue state for a request that has `ahead` requests before it. */
-  #computeQueueState(ahead: number): QueueState {
-    const now = this.#dependencies.clock.now();
-    if (now - this.#room.at >= SLOT_COUNT_MAX_AGE_MS)
-      this.#room = { at: now, slots: this.#computeRoom(now) };
-    return {
-      waiting: ahead,
-      slots: this.#room.slots,
-      meanAttemptMs: this.#meanAttemptMs,
-      arrivalsPerMs: this.#arrivals.getPerMs(),
-    };
-  }
-
   /**
    * This dispatcher's share of the slots of trusted upstreams, by its share of requests in flight. Of
    * an upstream with a rate limit, only as many slots count as the permitted rate keeps busy.
    */
-  #computeRoom(now: number): number {
+  #countSlots(now: number, meanAttemptMs: number): number {
     const { trust, links } = this.#dependencies;
     const states = this.#listUsable(new Set());
     const trusted = states.filter(
       ({ record }) => !trust.isSuspect(record.id, now) && !links.isSuspect(record.id, now),
     );
     const counted = trusted.length > 0 ? trusted : states;
-    const limitedSlots = counted.reduce((sum, state) => sum + this.#countLimitedSlots(state), 0);
+    const limitedSlots = counted.reduce(
+      (sum, state) => sum + this.#countLimitedSlots(state, meanAttemptMs),
+      0,
+    );
     const unlimited = counted.filter(({ rateLimit }) => !rateLimit.isLimited);
     const slots = unlimited.reduce((sum, { record }) => sum + record.slots, 0);
     const own = unlimited.reduce((sum, { inFlight }) => sum + inFlight, 0);
@@ -455,11 +322,11 @@
   }
 
   /** Slots that the permitted rate of a limited upstream keeps busy; 0 without a limit. */
-  #countLimitedSlots({ rateLimit, record }: UpstreamState): number {
+  #countLimitedSlots({ rateLimit, record }: UpstreamState, meanAttemptMs: number): number {
     if (!rateLimit.isLimited) return 0;
     const share = this.#dependencies.getRateLimitShare(record.id);
     const ratePerMs = rateLimit.computeRatePerMs(share) ?? 0;
-    return Math.min(record.slots, ratePerMs * this.#meanAttemptMs);
+    return Math.min(record.slots, ratePerMs * meanAttemptMs);
   }
 
   /** Whether the rate limit of an upstream, if it has one, permits one more request now. */
@@ -480,7 +347,7 @@
         (!isNearOnly || state.record.dataCentre === dataCentre) &&
         !state.isLeaving &&
         !excluded.has(state.record.id) &&
-        !state.isPaused(now) &&
+        !this.#sheds.isPaused(state.record.id, now) &&
         this.#hasPermit(state, now),
     );
     const reached = open.filter(({ record }) => !links.isSuspect(record.id, now));
--- a/packages/gateway/src/requests/upstream-state.ts
+++ b/packages/gateway/src/requests/upstream-state.ts
@@ -8,9 +8,6 @@
 import { computeUpstreamHash } from '../reports/index.js';
 import type { UpstreamPool } from '../upstreams/index.js';
 
-/** An upstream that shed a request gets no new requests for this long. */
-const SHED_PAUSE_MS = 150;
-
 export class UpstreamState {
   /** Number that stands for this upstream in reports between dispatchers. */
   readonly reportName: number;
@@ -29,8 +26,6 @@
 
   #inFlight = 0;
 
-  #pausedUntil = 0;
-
   #isLeaving = false;
 
   constructor(record: RegisteredUpstream, pool: UpstreamPool, warmUntil: number) {
@@ -84,14 +79,6 @@
     if (this.isLeaving) this.pool.drain();
   }
 
-  isPaused(now: number): boolean {
-    return now < this.#pausedUntil;
-  }
-
-  recordShed(now: number): void {
-    this.#pausedUntil = now + SHED_PAUSE_MS;
-  }
-
   /** Records that the upstream leaves, which holds for this start of it, whatever its record says. */
   recordLeaving(): void {
     this.#isLeaving = true;
--- /dev/null
+++ b/packages/gateway/src/retry-slack/index.ts
@@ -0,0 +1,1 @@
+export { FleetRetrySlack } from './fleet-retry-slack.js';
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -2,6 +2,7 @@
  * The services that the configuration and the records name, and the requests under way at them.
  */
 import {
+  AccountParts,
   DEFAULT_LINK_ESTIMATOR_SETTINGS,
   WeightedRoundRobin,
   RouteTable,
@@ -9,6 +10,7 @@
 } from '@baobabline/core';
 import type {
   Clock,
+  GetFleetRate,
   RandomSource,
   RegisteredUpstream,
   RateLimitChange,
@@ -51,8 +53,10 @@
   /** Accounts for answers while they come in. */
   readonly heldBytes: HeldBytes;
   readonly replica: Replica;
-  /** Daemons that may exist, among which the slack of the retry allowance is divided. */
-  readonly countDaemons: () => number;
+  /** Part of the slack of the retry budget that this daemon may use, from 0 to 1. */
+  readonly getRetrySlackShare: () => number;
+  /** Requests per second of an account over the fleet; by default this daemon's own counts decide. */
+  readonly getFleetRate?: GetFleetRate;
   /** Whether callers are sent to a daemon of a data centre. */
   readonly hasDispatcher: (dataCentre: string) => boolean;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
@@ -109,6 +113,8 @@
 
   readonly #times = new AttemptTimes();
 
+  readonly #accountParts: AccountParts;
+
   readonly #leavingStarts = new LeavingStarts();
 
   readonly #parts = new WeightedRoundRobin();
@@ -123,6 +129,7 @@
   constructor(ports: ServicePorts) {
     this.#ports = ports;
     this.#peerLoads = new PeerLoads(ports.clock);
+    this.#accountParts = new AccountParts(ports.clock, ports.getFleetRate ?? (() => undefined));
   }
 
   /** The routes in force; undefined before the first configuration. */
@@ -173,6 +180,7 @@
 
   serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     const desk = this.#getDesk(request.service);
+    if (request.caller) this.#accountParts.recordArrival(request.caller.account.name);
     const run = new RequestRun(
       request,
       desk,
@@ -241,13 +249,14 @@
     if (!configuration || configuration === this.#routes?.configuration) return false;
     this.#routes = new RouteTable(configuration);
     this.#parts.keep(new Set(configuration.routes.map(({ id }) => id)));
+    this.#accountParts.keep(new Set(configuration.accounts?.map(({ name }) => name)));
     return true;
   }
 
   #getDesk(name: string): ServiceScheduler {
     const known = this.#desks.get(name);
     if (known) return known;
-    const { clock, random, settings, countDaemons } = this.#ports;
+    const { clock, random, settings, getRetrySlackShare } = this.#ports;
     const { retryRatio, retrySlack, retryWindowMs } = settings.bounds;
     const desk = new ServiceScheduler(name, {
       clock,
@@ -261,8 +270,9 @@
         ratio: retryRatio,
         fleetSlack: retrySlack,
         windowMs: retryWindowMs,
-        countDaemons,
+        getSlackShare: getRetrySlackShare,
       },
+      findOwnPart: (account) => this.#accountParts.findOwnPart(account),
       createUpstream: (record) => this.#createUpstream(record),
       onAnswer: (judged) => this.#handleAnswer(judged),
       isCutOff: this.#ports.isCutOff,
