--- a/packages/core/src/queueing/account-shares.ts
+++ b/packages/core/src/queueing/account-shares.ts
@@ -6,13 +6,14 @@
  *
  * The requests that a service serves are divided max-min fairly: an account gets what it asks for or,
  * if that is more, the same multiple of its weight as all others that ask for more than they get. The
- * weight is the rate that the account bought; one without a rate has the mean of the others. Since the
- * daemons do not share slots by account, each uses the part of a weight that corresponds to its part
- * of the account's requests: an account does not get a share at each daemon that it sends to.
+ * weight is the rate that the account bought; one without a rate has the mean of the others. Where the
+ * accounts' requests over the fleet are known, the capacity of the whole service is divided, and each
+ * daemon applies its part of an account's share: an account does not get a share at each daemon that it
+ * sends to, nor less if it sends to a single one. Otherwise each daemon divides what it serves itself.
  *
- * An account is over its share if it asks for more than its share and more than its share has been
- * served lately. Its requests then come after those of all others, and are refused first. As its past
- * requests fade it is served again, so that it gets its share, and all that the others leave.
+ * The requests of an account that asks for more than its share come after those of all that do not,
+ * and are refused first. They get what these leave, which is the sum of the shares. Among them, those
+ * come last of which more than the share has been served lately.
  */
 import type { Clock } from '../runtime/index.js';
 
@@ -28,8 +29,10 @@
 const MAX_AGE_MS = 50;
 /** Accounts with fewer requests than this, after decay, are forgotten. */
 const MIN_COUNT = 0.01;
-/** Requests by which an account may exceed its share, so that single requests decide nothing. */
-const TOLERANCE = 1;
+/** Requests by which any account may exceed its share, so that single requests decide nothing. */
+const MIN_TOLERANCE = 2;
+/** Standard deviations by which random arrivals may exceed a share. */
+const TOLERANCE_DEVIATIONS = 2;
 
 type Usage = {
   readonly ratePerSecond: number | undefined;
@@ -41,13 +44,18 @@
 type Demand = {
   readonly name: string;
   readonly weight: number;
+  /** Requests over the fleet, as far as known. */
   readonly asked: number;
+  /** Requests that this daemon has sent to upstreams. */
   readonly served: number;
+  /** This daemon's part of the account's requests. */
+  readonly part: number;
 };
 
 type Shares = {
   readonly at: number;
-  readonly over: ReadonlySet<string>;
+  /** Accounts that ask for more than their share, and whether more has been served lately. */
+  readonly over: ReadonlyMap<string, boolean>;
   /** Requests per millisecond of all accounts, as far as they are within the shares. */
   readonly withinPerMs: number;
   readonly sharePerMs: ReadonlyMap<string, number>;
@@ -55,7 +63,7 @@
 
 const NO_SHARES: Shares = {
   at: Number.NEGATIVE_INFINITY,
-  over: new Set(),
+  over: new Map(),
   withinPerMs: 0,
   sharePerMs: new Map(),
 };
@@ -90,19 +98,23 @@
   return end.level ?? Number.POSITIVE_INFINITY;
 }
 
-export class AccountShares {
-  readonly #clock: Clock;
-
+export type AccountSharesPorts = {
+  readonly clock: Clock;
   /** Returns this daemon's part of an account's requests, from 0 to 1; undefined if it is unknown. */
-  readonly #findOwnPart: (accountName: string) => number | undefined;
+  readonly findOwnPart: (accountName: string) => number | undefined;
+  /** Returns the requests per millisecond that all slots of the service can run. */
+  readonly getCapacityPerMs: () => number;
+};
+
+export class AccountShares {
+  readonly #ports: AccountSharesPorts;
 
   readonly #usage = new Map<string, Usage>();
 
   #shares = NO_SHARES;
 
-  constructor(clock: Clock, findOwnPart: (accountName: string) => number | undefined) {
-    this.#clock = clock;
-    this.#findOwnPart = findOwnPart;
+  constructor(ports: AccountSharesPorts) {
+    this.#ports = ports;
   }
 
   recordArrival(account: ShareAccount): void {
@@ -114,8 +126,11 @@
     this.#record(account, 0, 1);
   }
 
-  isOverShare(accountName: string): boolean {
-    return this.#getShares().over.has(accountName);
+  /** Ranks an account: 0 within its share, 1 if it asks for more, 2 if more has been served lately. */
+  getYieldRank(accountName: string): number {
+    const isServedMore = this.#getShares().over.get(accountName);
+    if (isServedMore === undefined) return 0;
+    return isServedMore ? 2 : 1;
   }
 
   countOverShare(): number {
@@ -134,37 +149,40 @@
       ratePerSecond,
       asked: (known?.asked ?? 0) + asked,
       served: (known?.served ?? 0) + served,
-      at: this.#clock.now(),
+      at: this.#ports.clock.now(),
     });
   }
 
   #decay(usage: Usage | undefined): Usage | undefined {
     if (!usage) return undefined;
-    const now = this.#clock.now();
+    const now = this.#ports.clock.now();
     const factor = Math.exp((usage.at - now) / TIME_CONSTANT_MS);
     return { ...usage, asked: usage.asked * factor, served: usage.served * factor, at: now };
   }
 
   #getShares(): Shares {
-    if (this.#clock.now() - this.#shares.at >= MAX_AGE_MS) this.#shares = this.#computeShares();
+    if (this.#ports.clock.now() - this.#shares.at >= MAX_AGE_MS)
+      this.#shares = this.#computeShares();
     return this.#shares;
   }
 
   #computeShares(): Shares {
-    const at = this.#clock.now();
+    const at = this.#ports.clock.now();
     const demands = this.#listDemands();
-    const total = demands.reduce((sum, { served }) => sum + served, 0);
+    const isFleetKnown = demands.some(({ part }) => part < 1);
+    const total = isFleetKnown
+      ? this.#ports.getCapacityPerMs() * TIME_CONSTANT_MS
+      : demands.reduce((sum, { served }) => sum + served, 0);
     const level = computeFairLevel(demands, total);
-    const shares = demands.map((demand) => ({
-      ...demand,
-      share: Math.min(demand.asked, demand.weight * level),
-    }));
-    const over = shares.filter(
-      ({ asked, served, share }) => asked > share + TOLERANCE && served > share + TOLERANCE,
-    );
+    const shares = demands.map(({ name, weight, asked, served, part }) => {
+      const share = Math.min(asked, weight * level) * part;
+      const limit = share + Math.max(MIN_TOLERANCE, TOLERANCE_DEVIATIONS * Math.sqrt(share));
+      return { name, share, isOver: asked * part > limit, isServedMore: served > share };
+    });
+    const over = shares.length > 1 ? shares.filter(({ isOver }) => isOver) : [];
     return {
       at,
-      over: new Set(shares.length > 1 ? over.map(({ name }) => name) : []),
+      over: new Map(over.map(({ name, isServedMore }) => [name, isServedMore])),
       withinPerMs: shares.reduce((sum, { share }) => sum + share, 0) / TIME_CONSTANT_MS,
       sharePerMs: new Map(shares.map(({ name, share }) => [name, share / TIME_CONSTANT_MS])),
     };
@@ -179,15 +197,16 @@
     const rows = [...this.#usage].map(([name, usage]) => ({
       ...usage,
       name,
-      ownPart: this.#findOwnPart(name),
+      ownPart: this.#ports.findOwnPart(name),
     }));
     const meanRate = computeMean(rows.flatMap(({ ratePerSecond }) => ratePerSecond ?? []));
     const meanPart = computeMean(rows.flatMap(({ ownPart }) => ownPart ?? []));
-    return rows.map(({ name, ratePerSecond, asked, served, ownPart }) => ({
+    return rows.map(({ name, ratePerSecond = meanRate, asked, served, ownPart = meanPart }) => ({
       name,
-      weight: (ratePerSecond ?? meanRate) * (ownPart ?? meanPart),
-      asked,
+      weight: ratePerSecond,
+      asked: asked / ownPart,
       served,
+      part: ownPart,
     }));
   }
 }
--- a/packages/core/src/queueing/index.ts
+++ b/packages/core/src/queueing/index.ts
@@ -1,7 +1,7 @@
 export { AccountParts } from './account-parts.js';
 export type { GetFleetRate } from './account-parts.js';
 export { AccountShares, computeFairLevel } from './account-shares.js';
-export type { ShareAccount } from './account-shares.js';
+export type { AccountSharesPorts, ShareAccount } from './account-shares.js';
 export { ArrivalRate } from './arrival-rate.js';
 export {
   computeExpectedWaitMs,
@@ -15,3 +15,5 @@
 export type { Wanted } from './request-queue.js';
 export { drawReturnAfterShedMs, ReturnTimes } from './return-times.js';
 export { ServedShares } from './served-shares.js';
+export { WaitJudge } from './wait-judge.js';
+export type { RefusalReason, RequestOrigin, WaitVerdict, YieldReason } from './wait-judge.js';
--- a/packages/core/src/queueing/queue-lane.ts
+++ b/packages/core/src/queueing/queue-lane.ts
@@ -31,7 +31,7 @@
 
 /** A request's place in the order; `key` is its due time. */
 export type LaneRank = {
-  readonly isYielding: boolean;
+  readonly yieldRank: number;
   readonly isLate: boolean;
   readonly key: number;
 };
@@ -40,7 +40,7 @@
 export const RETRY_GROUP = 0;
 const IN_TIME_GROUP = 1;
 const LATE_GROUP = 2;
-/** Added to the groups of requests that have to yield. */
+/** Added to the groups of a request for each step of its yield rank. */
 const YIELDING_STEP = 2;
 
 export class QueueLane<Entry> {
@@ -61,8 +61,8 @@
     return this.retries.size + this.inTime.size + this.late.size;
   }
 
-  list(isYielding: boolean): readonly RankedEntry<Entry>[] {
-    const step = isYielding ? YIELDING_STEP : 0;
+  list(yieldRank: number): readonly RankedEntry<Entry>[] {
+    const step = yieldRank * YIELDING_STEP;
     return [
       ...this.retries.list().map((item) => ({ ...item, group: RETRY_GROUP })),
       ...this.inTime.list().map((item) => ({ ...item, group: IN_TIME_GROUP + step })),
@@ -71,16 +71,17 @@
   }
 
   /** Finds the first request that is no retry. */
-  findFirst(isYielding: boolean): RankedEntry<Entry> | undefined {
-    const step = isYielding ? YIELDING_STEP : 0;
+  findFirst(yieldRank: number): RankedEntry<Entry> | undefined {
+    const step = yieldRank * YIELDING_STEP;
     const { first } = this.inTime;
     if (first) return { ...first, group: IN_TIME_GROUP + step };
     return this.late.first && { ...this.late.first, group: LATE_GROUP + step };
   }
 
   /** Counts the requests here that are served before one of the given rank, which is no retry. */
-  countAhead(isLaneYielding: boolean, { isYielding, isLate, key }: LaneRank): number {
-    if (isLaneYielding !== isYielding) return isYielding ? this.size : this.retries.size;
+  countAhead(laneYieldRank: number, { yieldRank, isLate, key }: LaneRank): number {
+    if (laneYieldRank < yieldRank) return this.size;
+    if (laneYieldRank > yieldRank) return this.retries.size;
     if (isLate) return this.retries.size + this.inTime.size + this.late.countUpTo(key);
     return this.retries.size + this.inTime.countUpTo(key);
   }
--- a/packages/core/src/queueing/request-queue.ts
+++ b/packages/core/src/queueing/request-queue.ts
@@ -34,7 +34,7 @@
 /** Tells which requests `findNext` looks for. */
 export type Wanted<Entry> = {
   /** Whether any requests of this account and kind are wanted, of which one is given. */
-  readonly wantsLane: (sample: Entry, isRetry: boolean) => boolean;
+  readonly wantsLane: (sample: Entry, isRetry: boolean, yieldRank: number) => boolean;
   readonly wantsRetry: (entry: Entry) => boolean;
 };
 
@@ -63,7 +63,7 @@
 }
 
 export class RequestQueue<Entry extends QueuedRequest> {
-  readonly #shouldYield: (entry: QueuedRequest) => boolean;
+  readonly #getYieldRank: (entry: QueuedRequest) => number;
 
   readonly #places = new Map<string, Place<Entry>>();
 
@@ -76,9 +76,12 @@
 
   #serial = 0;
 
-  /** Whether the requests of an account and priority, of which one is given, have to yield. */
-  constructor(shouldYield: (entry: QueuedRequest) => boolean = () => false) {
-    this.#shouldYield = shouldYield;
+  /**
+   * `getYieldRank` ranks the requests of an account and priority, of which one is given: those of rank
+   * 0 are served before those of rank 1, and so on.
+   */
+  constructor(getYieldRank: (entry: QueuedRequest) => number = () => 0) {
+    this.#getYieldRank = getYieldRank;
   }
 
   get size(): number {
@@ -124,7 +127,7 @@
   list(now: number): readonly Entry[] {
     this.#refresh(now);
     return [...this.#lanes.values()]
-      .flatMap((lane) => lane.list(this.#shouldYield(lane.sample)))
+      .flatMap((lane) => lane.list(this.#getYieldRank(lane.sample)))
       .sort(compareRanked)
       .map(({ entry }) => entry);
   }
@@ -144,11 +147,11 @@
     this.#refresh(now);
     const isLate = !request.isRetry && now > computeLateKey(request);
     const key = computeDueAt(request, isLate);
-    const isYielding = this.#shouldYield(request);
+    const yieldRank = this.#getYieldRank(request);
     return [...this.#lanes.values()].reduce((sum, lane) => {
       if (request.isRetry) return sum + lane.retries.countUpTo(key);
-      const laneYields = this.#shouldYield(lane.sample);
-      return sum + lane.countAhead(laneYields, { isYielding, isLate, key });
+      const laneRank = this.#getYieldRank(lane.sample);
+      return sum + lane.countAhead(laneRank, { yieldRank, isLate, key });
     }, 0);
   }
 
@@ -168,12 +171,13 @@
     { wantsLane, wantsRetry }: Wanted<Entry>,
   ): RankedEntry<Entry> | undefined {
     const { sample } = lane;
+    const yieldRank = this.#getYieldRank(sample);
     const retry =
-      lane.retries.size > 0 && wantsLane(sample, true)
+      lane.retries.size > 0 && wantsLane(sample, true, yieldRank)
         ? lane.retries.list().find(({ entry }) => wantsRetry(entry))
         : undefined;
     if (retry) return { ...retry, group: RETRY_GROUP };
-    return wantsLane(sample, false) ? lane.findFirst(this.#shouldYield(sample)) : undefined;
+    return wantsLane(sample, false, yieldRank) ? lane.findFirst(yieldRank) : undefined;
   }
 
   #getLane(entry: Entry): QueueLane<Entry> {
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -10,14 +10,14 @@
   isRepeatableKind,
   MAX_TIMER_MS,
 } from '@baobabline/core';
-import type { PlacementChoice, RequestError, RetryClaim } from '@baobabline/core';
+import type { PlacementChoice, RefusalReason, RequestError, RetryClaim } from '@baobabline/core';
 
 import type { ExchangeEnd, UpstreamAnswer } from '../upstreams/index.js';
 import { buildRequestHead } from './request-head.js';
 import { buildQueueEntry } from './queue-entry.js';
 import type { QueueEntry } from './queue-entry.js';
 import type { Attempt, RequestRunDependencies } from './request-run-types.js';
-import type { RefusalReason, WaitEnds } from './service-queue.js';
+import type { WaitEnds } from './service-queue.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
@@ -83,9 +83,8 @@
     }
     const waitMs = Math.min(Math.max(0, this.#timeLeft), MAX_TIMER_MS);
     this.#endTimer = setTimeout(() => this.#handleTimeUp(), waitMs);
-    // A slot that has become free goes to the requests that wait.
-    this.#scheduler.queue.serve();
-    if (!this.#tryPlace()) this.#waitOrRefuse();
+    const mayPlace = this.#scheduler.queue.mayPlaceAtOnce(this.#request);
+    if (!mayPlace || !this.#tryPlace()) this.#waitOrRefuse();
   }
 
   get isAtUpstream(): boolean {
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -3,32 +3,27 @@
  * Refuses those that cannot be served, and tells their callers when to return.
  */
 import {
-  AccountShares,
   ArrivalRate,
   computeMaxFailureProbability,
-  isServable,
   RequestQueue,
   RetryWaitList,
-  ReturnTimes,
-  ServedShares,
   SlidingWindowRetryBudget,
+  WaitJudge,
 } from '@baobabline/core';
 import type {
   Clock,
   QueuedRequest,
   QueueState,
   RandomSource,
+  RefusalReason,
   RetryClaim,
   SlidingWindowRetryBudgetSettings,
   WaitingRetry,
+  WaitVerdict,
 } from '@baobabline/core';
 
 import type { RoutedRequest } from './types.js';
 
-/** Why a request is refused that waits, or would have to wait. */
-export type RefusalReason =
-  'slots' | 'account-over-share' | 'kind-served-more' | 'expired' | 'retry-budget';
-
 /** What a queued request does when its wait ends. */
 export type WaitEnds = {
   /** Called when the latest time at which it may be sent has passed. */
@@ -49,20 +44,14 @@
 /** A request that waits for the retry budget. */
 export type QueuedRetry = WaitingRetry & WaitEnds & { readonly onGranted: () => void };
 
-export type WaitVerdict =
-  | { readonly kind: 'wait' }
-  | {
-      readonly kind: 'refuse';
-      readonly reason: RefusalReason;
-      readonly retryAfterMs: number;
-    };
-
 export type ServiceQueuePorts = {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly allowance: SlidingWindowRetryBudgetSettings;
   /** Counts the slots that this daemon may use, given the mean time of an attempt. */
   readonly countSlots: (now: number, meanAttemptMs: number) => number;
+  /** Counts the slots of the service that may be used, by this daemon and others. */
+  readonly countAllSlots: () => number;
   /** Returns this daemon's part of an account's requests; undefined if it is unknown. */
   readonly findOwnPart: (accountName: string) => number | undefined;
 };
@@ -72,6 +61,11 @@
 /** Hedges leave this share of the retry budget to requests that fail. */
 const MIN_BUDGET_SHARE_FOR_HEDGES = 0.3;
 const POLL_INTERVAL_MS = 10;
+/**
+ * Polls until requests of accounts over their share may take slots again. Until then a slot that has
+ * become free is seen by the other daemons, at which requests of other accounts may wait for it.
+ */
+const POLLS_PER_YIELDING_TURN = 3;
 /** How often the queue is checked for requests that can no longer be served in time. */
 const RECHECK_INTERVAL_MS = 100;
 /** Assumed until the first attempt has ended. */
@@ -82,11 +76,12 @@
 const NEWEST_WEIGHT = 0.05;
 /** After so many retries that found no slot, all others of their kind are skipped until the next event. */
 const MAX_BLOCKED_RETRIES = 4;
-/** Stands for the requests that need no key. */
-const PUBLIC_ACCOUNT = { name: '' };
-
-/** The requests that found no slot in one round. */
-type Blocked = { readonly retries: Map<string, boolean>; readonly kinds: Set<boolean> };
+/** One round of placing requests, and those that found no slot in it. */
+type Round = {
+  readonly servesYielding: boolean;
+  readonly retries: Map<string, boolean>;
+  readonly kinds: Set<boolean>;
+};
 
 export class ServiceQueue {
   readonly allowance: SlidingWindowRetryBudget;
@@ -97,11 +92,7 @@
 
   readonly #retries: RetryWaitList<QueuedRetry>;
 
-  readonly #accounts: AccountShares;
-
-  readonly #servedShares: ServedShares;
-
-  readonly #returnTimes: ReturnTimes;
+  readonly #judge: WaitJudge;
 
   readonly #arrivals: ArrivalRate;
 
@@ -113,6 +104,8 @@
 
   #judgedAt = 0;
 
+  #pollCount = 0;
+
   #poll: NodeJS.Timeout | undefined;
 
   constructor(ports: ServiceQueuePorts) {
@@ -120,11 +113,12 @@
     this.#ports = ports;
     this.allowance = new SlidingWindowRetryBudget(ports.allowance, clock);
     this.#retries = new RetryWaitList(this.allowance, clock);
-    this.#accounts = new AccountShares(clock, ports.findOwnPart);
-    this.#servedShares = new ServedShares(clock);
-    this.#returnTimes = new ReturnTimes(ports.random);
+    this.#judge = new WaitJudge(ports.random, {
+      ...ports,
+      getCapacityPerMs: () => ports.countAllSlots() / this.#meanAttemptMs,
+    });
     this.#arrivals = new ArrivalRate(clock);
-    this.#requests = new RequestQueue((request) => this.#findYieldReason(request) !== undefined);
+    this.#requests = new RequestQueue((request) => this.#judge.getYieldRank(request));
   }
 
   get size(): number {
@@ -133,7 +127,7 @@
 
   /** Accounts that are over their share now. */
   get accountsOverShare(): number {
-    return this.#accounts.countOverShare();
+    return this.#judge.countOverShare();
   }
 
   /** Whether the retry budget has room for a test that fails. */
@@ -146,18 +140,17 @@
   recordArrival({ priority, caller }: RoutedRequest): void {
     this.allowance.recordRequest(priority);
     this.#arrivals.recordArrival();
-    this.#accounts.recordArrival(caller?.account ?? PUBLIC_ACCOUNT);
+    this.#judge.recordArrival(caller?.account);
   }
 
   /** Records that a request is sent to an upstream for the first time. */
   recordServed({ priority, caller }: RoutedRequest): void {
-    this.#accounts.recordServed(caller?.account ?? PUBLIC_ACCOUNT);
-    this.#servedShares.record(priority, true);
+    this.#judge.recordServed(priority, caller?.account);
   }
 
-  /** Records that a request was refused for want of slots; those over their share do not count. */
+  /** Records that a request was refused that waited, or would have had to wait. */
   recordRefused({ priority }: RoutedRequest, reason: RefusalReason): void {
-    if (reason === 'slots' || reason === 'expired') this.#servedShares.record(priority, false);
+    this.#judge.recordRefused(priority, reason);
   }
 
   recordAttemptTime(elapsedMs: number): void {
@@ -183,7 +176,7 @@
   /** Decides whether a request should be queued. */
   judgeWait(request: QueuedRequest): WaitVerdict {
     const ahead = this.#requests.countAhead(request, this.#ports.clock.now());
-    return this.#judge(request, this.#computeState(ahead));
+    return this.#judge.judge(request, this.#computeState(ahead), false);
   }
 
   /** The state of the queue as a request joining it would find it, for the log. */
@@ -214,24 +207,33 @@
    * Places queued requests while upstreams have free slots. If a first attempt finds no slot, later
    * requests that are as repeatable as it is are skipped, since they would find none either.
    */
-  serve(): void {
-    if (this.#requests.size > 0) this.#serveNext({ retries: new Map(), kinds: new Set() });
+  serve(isYieldingTurn = false): void {
+    if (this.#requests.size === 0) return;
+    const servesYielding = isYieldingTurn || this.accountsOverShare === 0;
+    this.#serveNext({ servesYielding, retries: new Map(), kinds: new Set() });
   }
 
-  #serveNext(blocked: Blocked): void {
-    const { retries, kinds } = blocked;
+  /** Places the requests that wait; returns whether a new one may be placed without waiting after them. */
+  mayPlaceAtOnce({ priority, caller }: RoutedRequest): boolean {
+    this.serve();
+    if (this.#requests.size === 0) return true;
+    return this.#judge.getYieldRank({ priority, accountName: caller?.account.name }) === 0;
+  }
+
+  #serveNext(round: Round): void {
+    const { servesYielding, retries, kinds } = round;
     const waiter = this.#requests.findNext(this.#ports.clock.now(), {
-      wantsLane: ({ isRepeatable }, isRetry) =>
+      wantsLane: ({ isRepeatable }, isRetry, yieldRank) =>
         isRetry
           ? [...retries.values()].filter((one) => one === isRepeatable).length < MAX_BLOCKED_RETRIES
-          : !kinds.has(isRepeatable),
+          : !kinds.has(isRepeatable) && (servesYielding || yieldRank === 0),
       wantsRetry: ({ id }) => !retries.has(id),
     });
     if (!waiter) return;
     if (waiter.tryPlace()) this.#requests.remove(waiter.id);
     else if (waiter.isRetry) retries.set(waiter.id, waiter.isRepeatable);
     else kinds.add(waiter.isRepeatable);
-    this.#serveNext(blocked);
+    this.#serveNext(round);
   }
 
   #createTicket(): string {
@@ -247,7 +249,8 @@
       const now = this.#ports.clock.now();
       this.#requests.takeExpired(now).forEach((waiter) => waiter.onExpired());
       this.#retries.takeGranted().forEach((waiter) => waiter.onGranted());
-      this.serve();
+      this.#pollCount += 1;
+      this.serve(this.#pollCount % POLLS_PER_YIELDING_TURN === 0);
       this.#refuseHopeless(now);
       if (this.size > 0) this.#startPolling();
     }, POLL_INTERVAL_MS);
@@ -259,7 +262,7 @@
     this.#judgedAt = now;
     const state = this.#computeState(0);
     this.#requests.list(now).forEach((waiter, ahead) => {
-      const verdict = this.#judge(waiter, { ...state, waiting: ahead });
+      const verdict = this.#judge.judge(waiter, { ...state, waiting: ahead }, true);
       if (verdict.kind === 'wait') return;
       this.#requests.remove(waiter.id);
       waiter.onHopeless(verdict.reason, verdict.retryAfterMs);
@@ -267,45 +270,10 @@
     this.#retries
       .takeHopeless()
       .forEach((waiter) =>
-        waiter.onHopeless('retry-budget', this.#assignReturn(waiter.latestSendAt, state)),
+        waiter.onHopeless('retry-budget', this.#judge.assignReturn(waiter.latestSendAt, state)),
       );
   }
 
-  #judge(request: QueuedRequest, state: QueueState): WaitVerdict {
-    const { targetAt, latestSendAt, isRetry, accountName = PUBLIC_ACCOUNT.name } = request;
-    const now = this.#ports.clock.now();
-    const timeLeftMs = latestSendAt - now;
-    // New requests never overtake a retry, even a late one.
-    const targetLeftMs = isRetry ? timeLeftMs : targetAt - now;
-    const yieldReason = isRetry ? undefined : this.#findYieldReason(request);
-    const isWorthWaiting =
-      yieldReason === undefined
-        ? isServable(state, { targetLeftMs, timeLeftMs })
-        : isServable(
-            yieldReason === 'account-over-share'
-              ? { ...state, arrivalsPerMs: this.#accounts.getArrivalsAheadPerMs(accountName) }
-              : state,
-            { targetLeftMs: Number.NEGATIVE_INFINITY, timeLeftMs },
-          );
-    if (isWorthWaiting) return { kind: 'wait' };
-    const retryAfterMs = this.#assignReturn(latestSendAt, state);
-    return { kind: 'refuse', reason: yieldReason ?? 'slots', retryAfterMs };
-  }
-
-  #assignReturn(latestSendAt: number, state: QueueState): number {
-    const now = this.#ports.clock.now();
-    return this.#returnTimes.assign(state, Math.max(0, latestSendAt - now), now);
-  }
-
-  /** Why a request comes after those that need not yield; undefined if it need not either. */
-  #findYieldReason({
-    accountName = PUBLIC_ACCOUNT.name,
-    priority,
-  }: QueuedRequest): 'account-over-share' | 'kind-served-more' | undefined {
-    if (this.#accounts.isOverShare(accountName)) return 'account-over-share';
-    return this.#servedShares.shouldYield(priority) ? 'kind-served-more' : undefined;
-  }
-
   /** The queue state for a request that has `ahead` requests before it. */
   #computeState(ahead: number): QueueState {
     const now = this.#ports.clock.now();
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -83,6 +83,8 @@
     this.queue = new ServiceQueue({
       ...ports,
       countSlots: (now, meanAttemptMs) => this.#countSlots(now, meanAttemptMs),
+      countAllSlots: () =>
+        this.#listCounted(ports.clock.now()).reduce((sum, { record }) => sum + record.slots, 0),
     });
   }
 
@@ -303,12 +305,7 @@
    * an upstream with a rate limit, only as many slots count as the permitted rate keeps busy.
    */
   #countSlots(now: number, meanAttemptMs: number): number {
-    const { trust, links } = this.#dependencies;
-    const states = this.#listUsable(new Set());
-    const trusted = states.filter(
-      ({ record }) => !trust.isSuspect(record.id, now) && !links.isSuspect(record.id, now),
-    );
-    const counted = trusted.length > 0 ? trusted : states;
+    const counted = this.#listCounted(now);
     const limitedSlots = counted.reduce(
       (sum, state) => sum + this.#countLimitedSlots(state, meanAttemptMs),
       0,
@@ -321,6 +318,16 @@
     return sharedSlots + limitedSlots;
   }
 
+  /** The upstreams whose slots count: the trusted ones or, if there are none, all that may be used. */
+  #listCounted(now: number): readonly UpstreamState[] {
+    const { trust, links } = this.#dependencies;
+    const states = this.#listUsable(new Set());
+    const trusted = states.filter(
+      ({ record }) => !trust.isSuspect(record.id, now) && !links.isSuspect(record.id, now),
+    );
+    return trusted.length > 0 ? trusted : states;
+  }
+
   /** Slots that the permitted rate of a limited upstream keeps busy; 0 without a limit. */
   #countLimitedSlots({ rateLimit, record }: UpstreamState, meanAttemptMs: number): number {
     if (!rateLimit.isLimited) return 0;
