Test the queue of a service, and tell why a request was refused

The forecast of the retry budget is computed once for all requests that ask at the same time. ServiceQueue gets tests of its own: waiting for the retry budget, and accounts over their share. The story of a request names the reason.

--- a/packages/cli/src/commands/log-story.ts
+++ b/packages/cli/src/commands/log-story.ts
@@ -49,6 +49,12 @@
 /** How long before its first and after its last line the daemon's notes are looked at. */
 const AROUND_MS = 5000;
 
+const HOPELESS_REASONS: Readonly<Record<string, string>> = {
+  'account-over-share': ', its account is over its share',
+  'kind-served-more': ', a more urgent kind is served less often',
+  expired: ', its time has passed in the queue',
+};
+
 const STEP_TEXTS: Readonly<Record<string, (line: LogLine) => string>> = {
   waiting: ({ ahead, timeLeftMs }) => `waits for room behind ${ahead}, ${timeLeftMs} ms left`,
   sent: ({ upstream, attempt, reason, timeLeftMs, limitPerSecond, limitShare }) => {
@@ -64,9 +70,10 @@
   unsent: ({ upstream, reason }) => `${upstream} could not be reached: ${reason}`,
   lost: ({ upstream, reason }) => `the connection to ${upstream} was lost: ${reason}`,
   invalid: ({ upstream, reason }) => `${upstream} sent what is no whole answer: ${reason}`,
-  hopeless: ({ waiting, slots, meanAttemptMs, withoutPermit }) => {
+  hopeless: ({ reason, waiting, slots, meanAttemptMs, withoutPermit }) => {
+    if (reason === 'retry-budget') return 'shed, and the retry budget is used up';
     const limited = withoutPermit ? `, ${withoutPermit} upstreams at their rate limit` : '';
-    return `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt${limited}`;
+    return `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt${limited}${HOPELESS_REASONS[String(reason)] ?? ''}`;
   },
   'stop-reached': () => 'the daemon stops, and gives it up',
   'caller-gone': () => 'the caller left',
--- a/packages/core/src/retries/sliding-window-retry-budget.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.ts
@@ -49,19 +49,18 @@
 
 type Bucket = {
   readonly index: number;
-  /** Requests by priority. */
-  readonly requests: ReadonlyMap<number, number>;
+  readonly requests: number;
+  readonly byPriority: ReadonlyMap<number, number>;
   readonly retries: number;
 };
 
 type Usage = { readonly allowed: number; readonly used: number };
 
-function countRequests({ requests }: Bucket): number {
-  return [...requests.values()].reduce((sum, count) => sum + count, 0);
-}
+/** The budget as it is expected to be after a time. */
+type Forecast = Usage & { readonly afterMs: number };
 
 function sumRequests(buckets: readonly Bucket[]): number {
-  return buckets.reduce((sum, bucket) => sum + countRequests(bucket), 0);
+  return buckets.reduce((sum, { requests }) => sum + requests, 0);
 }
 
 function sumRetries(buckets: readonly Bucket[]): number {
@@ -75,15 +74,23 @@
 
   #buckets: readonly Bucket[] = [];
 
+  /** Reused for requests that ask at the same time. */
+  #forecasts: {
+    readonly at: number;
+    readonly slackShare: number;
+    readonly buckets: readonly Bucket[];
+    readonly list: readonly Forecast[];
+  } = { at: Number.NEGATIVE_INFINITY, slackShare: 0, buckets: [], list: [] };
+
   constructor(settings: SlidingWindowRetryBudgetSettings, clock: Clock) {
     this.#settings = settings;
     this.#clock = clock;
   }
 
   recordRequest(priority = 0): void {
-    const { index, requests, retries } = this.#getCurrentBucket();
-    const counts = new Map(requests).set(priority, (requests.get(priority) ?? 0) + 1);
-    this.#putBucket({ index, requests: counts, retries });
+    const { index, requests, byPriority, retries } = this.#getCurrentBucket();
+    const counts = new Map(byPriority).set(priority, (byPriority.get(priority) ?? 0) + 1);
+    this.#putBucket({ index, requests: requests + 1, byPriority: counts, retries });
   }
 
   /** Takes one retry out of the budget; returns false if none is left for the request. */
@@ -121,21 +128,31 @@
    * others before it; undefined if the retries that leave the window never suffice.
    */
   computeReturnMs(claim: RetryClaim, ahead: number): number | undefined {
-    const { windowMs } = this.#settings;
+    const reserve = this.#computeReserve(this.#listCurrentBuckets(), claim);
+    return this.#listForecasts().find(
+      ({ allowed, used }) => allowed * (1 - reserve) - used >= 1 + ahead,
+    )?.afterMs;
+  }
+
+  /** Lists what the budget will be now and each time that a bucket leaves the window. */
+  #listForecasts(): readonly Forecast[] {
     const now = this.#clock.now();
-    const bucketMs = windowMs / BUCKETS_PER_WINDOW;
     const buckets = this.#listCurrentBuckets();
+    const { windowMs, getSlackShare } = this.#settings;
+    const slackShare = getSlackShare();
+    const known = this.#forecasts;
+    const isCurrent =
+      known.at === now && known.slackShare === slackShare && known.buckets === this.#buckets;
+    if (isCurrent) return known.list;
     const requestsPerMs = (sumRequests(buckets) / windowMs) * FORECAST_FACTOR;
-    const reserve = this.#computeReserve(buckets, claim);
-    const isCovered = (afterMs: number): boolean => {
-      const oldestIndex = Math.floor((now + afterMs) / bucketMs) - BUCKETS_PER_WINDOW;
-      const kept = buckets.filter(({ index }) => index >= oldestIndex);
-      const { allowed, used } = this.#computeUsage(kept, requestsPerMs * afterMs);
-      return allowed * (1 - reserve) - used >= 1 + ahead;
-    };
-    return [0, ...buckets.map(({ index }) => (index + BUCKETS_PER_WINDOW + 1) * bucketMs - now)]
-      .filter((afterMs) => afterMs >= 0)
-      .find(isCovered);
+    const later = buckets.map(({ index }, position) => {
+      const afterMs = ((index + BUCKETS_PER_WINDOW + 1) * windowMs) / BUCKETS_PER_WINDOW - now;
+      const kept = buckets.slice(position + 1);
+      return { afterMs, ...this.#computeUsage(kept, requestsPerMs * afterMs) };
+    });
+    const list = [{ afterMs: 0, ...this.#computeUsage(buckets) }, ...later];
+    this.#forecasts = { at: now, slackShare, buckets: this.#buckets, list };
+    return list;
   }
 
   #computeUsage(buckets: readonly Bucket[], expectedRequests = 0): Usage {
@@ -150,7 +167,7 @@
   #computeReserve(buckets: readonly Bucket[], { priority, shedCount }: RetryClaim): number {
     const total = sumRequests(buckets);
     const urgent = buckets
-      .flatMap(({ requests }) => [...requests])
+      .flatMap(({ byPriority }) => [...byPriority])
       .reduce((sum, [other, count]) => (other < priority ? sum + count : sum), 0);
     const forUrgent = total === 0 ? 0 : urgent / total;
     const forOthers = shedCount >= OFTEN_SHED_COUNT ? OFTEN_SHED_RESERVE : 0;
@@ -169,7 +186,7 @@
   #getCurrentBucket(): Bucket {
     const index = this.#computeBucketIndex();
     const last = this.#buckets.at(-1);
-    return last?.index === index ? last : { index, requests: new Map(), retries: 0 };
+    return last?.index === index ? last : { index, requests: 0, byPriority: new Map(), retries: 0 };
   }
 
   #putBucket(bucket: Bucket): void {
--- /dev/null
+++ b/packages/gateway/src/requests/service-queue.test.ts
@@ -0,0 +1,121 @@
+import { expect } from 'chai';
+import { mock } from 'node:test';
+
+import { createRandom } from '@baobabline/core';
+import type { RetryClaim } from '@baobabline/core';
+
+import { buildQueueEntry } from './queue-entry.js';
+import { buildRoutedRequest } from './request-fixtures.js';
+import { ServiceQueue } from './service-queue.js';
+import type { QueuedPlacement } from './service-queue.js';
+import type { RoutedRequest } from './types.js';
+
+const WINDOW_MS = 1000;
+const STEP_MS = 10;
+const CLAIM: RetryClaim = { priority: 0, shedCount: 1 };
+
+describe('ServiceQueue', () => {
+  let now = 0;
+  let freeSlots = 0;
+  let placed: readonly string[] = [];
+  let queue: ServiceQueue;
+
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout'] });
+    now = 0;
+    freeSlots = 0;
+    placed = [];
+    queue = new ServiceQueue({
+      clock: { now: () => now },
+      random: createRandom(5),
+      allowance: { windowMs: WINDOW_MS, ratio: 0, fleetSlack: 1.5, getSlackShare: () => 1 },
+      countSlots: () => 10,
+      countAllSlots: () => 10,
+      findOwnPart: () => undefined,
+    });
+  });
+
+  afterEach(() => mock.timers.reset());
+
+  function wait(ms: number): void {
+    Array.from({ length: ms / STEP_MS }).forEach(() => {
+      now += STEP_MS;
+      mock.timers.tick(STEP_MS);
+    });
+  }
+
+  function buildRequest(name: string): RoutedRequest {
+    const account = { name, keyDigests: [], burst: 0, ratePerSecond: 10 };
+    const times = { timeoutMs: 5000, targetLatencyMs: 4000 };
+    return {
+      ...buildRoutedRequest(name, now, 'unsafe', times),
+      caller: { account, keyDigest: '' },
+    };
+  }
+
+  function buildPlacement(request: RoutedRequest): QueuedPlacement {
+    return {
+      ...buildQueueEntry(request, 100, false),
+      tryPlace: () => {
+        if (freeSlots === 0) return false;
+        freeSlots -= 1;
+        placed = [...placed, request.id];
+        return true;
+      },
+      onExpired: () => undefined,
+      onHopeless: () => undefined,
+    };
+  }
+
+  /** Lets an account ask for and get far more than another. */
+  function recordFlood(): void {
+    Array.from({ length: 60 }, () => buildRequest('flood')).forEach((request, index) => {
+      queue.recordArrival(request);
+      if (index % 3 === 0) queue.recordServed(request);
+    });
+    Array.from({ length: 5 }, () => buildRequest('small')).forEach((request) => {
+      queue.recordArrival(request);
+      queue.recordServed(request);
+    });
+  }
+
+  it('holds a shed request until a retry leaves the window, and no longer', () => {
+    expect([queue.takeRetry(CLAIM), queue.takeRetry(CLAIM)]).to.deep.equal([true, false]);
+    let granted = 0;
+    const build = (): Parameters<ServiceQueue['waitForRetry']>[0] => ({
+      ...buildPlacement(buildRequest('a')),
+      ...CLAIM,
+      onGranted: () => {
+        granted += 1;
+      },
+    });
+    expect(queue.waitForRetry(build())).to.be.a('string');
+    // A second one would never be covered, and is not held.
+    expect(queue.waitForRetry(build())).to.equal(undefined);
+    wait(WINDOW_MS - STEP_MS);
+    expect([granted, queue.size]).to.deep.equal([0, 1]);
+    wait(WINDOW_MS / 10);
+    expect([granted, queue.size]).to.deep.equal([1, 0]);
+  });
+
+  it('places requests of an account over its share after all others, whichever arrived first', () => {
+    recordFlood();
+    ['flood', 'small'].forEach((name) => queue.wait(buildPlacement(buildRequest(name))));
+    expect(queue.accountsOverShare).to.equal(1);
+    freeSlots = 1;
+    queue.serve();
+    expect(placed).to.deep.equal(['small']);
+  });
+
+  it('lets no request of an account over its share take a slot that another may wait for', () => {
+    recordFlood();
+    queue.wait(buildPlacement(buildRequest('flood')));
+    freeSlots = 1;
+    expect(queue.mayPlaceAtOnce(buildRequest('flood'))).to.equal(false);
+    expect(queue.mayPlaceAtOnce(buildRequest('small'))).to.equal(true);
+    expect(placed).to.deep.equal([]);
+    // Nobody took it: it is not left unused.
+    wait(3 * STEP_MS);
+    expect(placed).to.deep.equal(['flood']);
+  });
+});
