Log services that are short of capacity

One line a second at most for each service, with the requests refused by reason and the accounts over their share.

--- a/packages/core/src/queueing/account-shares.ts
+++ b/packages/core/src/queueing/account-shares.ts
@@ -133,8 +133,8 @@
     return isServedMore ? 2 : 1;
   }
 
-  countOverShare(): number {
-    return this.#getShares().over.size;
+  listOverShare(): readonly string[] {
+    return [...this.#getShares().over.keys()];
   }
 
   /** Requests per millisecond that go before those of an account that is over its share. */
--- a/packages/core/src/queueing/wait-judge.ts
+++ b/packages/core/src/queueing/wait-judge.ts
@@ -52,9 +52,9 @@
     this.#returnTimes = new ReturnTimes(random);
   }
 
-  /** Counts the accounts that are over their share now. */
-  countOverShare(): number {
-    return this.#accounts.countOverShare();
+  /** Lists the accounts that are over their share now. */
+  listOverShare(): readonly string[] {
+    return this.#accounts.listOverShare();
   }
 
   recordArrival(account = PUBLIC_ACCOUNT): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,7 +42,7 @@
 import { DispatcherReports, formatReport, ReportInbox } from './reports/index.js';
 import type { DispatcherReport, ReportAudience } from './reports/index.js';
 import type { RequestEnd, RoutedRequest, ServedRequest } from './requests/index.js';
-import { FleetRetrySlack } from './retry-slack/index.js';
+import { FleetRetrySlack, OverloadLog } from './overload/index.js';
 import { RoutedServices } from './services/index.js';
 import type { GatewaySettings } from './settings/index.js';
 import { UpstreamLinkMonitor } from './upstream-links/index.js';
@@ -112,6 +112,8 @@
 
   readonly #retrySlack: FleetRetrySlack;
 
+  readonly #overloadLog: OverloadLog;
+
   readonly #quarantine: FleetQuarantine;
 
   readonly #linkMonitor: UpstreamLinkMonitor;
@@ -174,6 +176,7 @@
       fleet: this.#fleet,
       getVisiblePart: () => this.#rateLimits.getVisiblePart(),
     });
+    this.#overloadLog = new OverloadLog(this.#clock, this.#log);
     this.#quarantine = new FleetQuarantine({
       clock: this.#clock,
       random: this.#random,
@@ -352,6 +355,7 @@
     this.#services.runTick();
     this.#rateLimits.runTick();
     this.#retrySlack.runTick();
+    this.#overloadLog.runTick(this.#services.listDesks());
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
--- a/packages/gateway/src/requests/service-queue.test.ts
+++ b/packages/gateway/src/requests/service-queue.test.ts
@@ -101,7 +101,7 @@
   it('places requests of an account over its share after all others, whichever arrived first', () => {
     recordFlood();
     ['flood', 'small'].forEach((name) => queue.wait(buildPlacement(buildRequest(name))));
-    expect(queue.accountsOverShare).to.equal(1);
+    expect(queue.describeOverload().accountsOverShare).to.deep.equal(['flood']);
     freeSlots = 1;
     queue.serve();
     expect(placed).to.deep.equal(['small']);
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -44,6 +44,11 @@
 /** A request that waits for the retry budget. */
 export type QueuedRetry = WaitingRetry & WaitEnds & { readonly onGranted: () => void };
 
+export type ServiceOverload = {
+  readonly refused: ReadonlyMap<RefusalReason, number>;
+  readonly accountsOverShare: readonly string[];
+};
+
 export type ServiceQueuePorts = {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -96,6 +101,8 @@
 
   readonly #arrivals: ArrivalRate;
 
+  readonly #refused = new Map<RefusalReason, number>();
+
   #ticketCount = 0;
 
   #meanAttemptMs = INITIAL_ATTEMPT_MS;
@@ -125,9 +132,10 @@
     return this.#requests.size + this.#retries.size;
   }
 
-  /** Accounts that are over their share now. */
-  get accountsOverShare(): number {
-    return this.#judge.countOverShare();
+  /** Sums up what was refused since the start, by reason, and the accounts over their share now. */
+  describeOverload(): ServiceOverload {
+    const refused = new Map(this.#refused);
+    return { refused, accountsOverShare: this.#judge.listOverShare() };
   }
 
   /** Whether the retry budget has room for a test that fails. */
@@ -150,6 +158,7 @@
 
   /** Records that a request was refused that waited, or would have had to wait. */
   recordRefused({ priority }: RoutedRequest, reason: RefusalReason): void {
+    this.#refused.set(reason, (this.#refused.get(reason) ?? 0) + 1);
     this.#judge.recordRefused(priority, reason);
   }
 
@@ -209,7 +218,7 @@
    */
   serve(isYieldingTurn = false): void {
     if (this.#requests.size === 0) return;
-    const servesYielding = isYieldingTurn || this.accountsOverShare === 0;
+    const servesYielding = isYieldingTurn || this.#judge.listOverShare().length === 0;
     this.#serveNext({ servesYielding, retries: new Map(), kinds: new Set() });
   }
 
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -20,6 +20,7 @@
 import type { ServiceMetrics, UpstreamCondition } from '../metrics/index.js';
 import type { PeerLoads } from './peer-loads.js';
 import { ServiceQueue } from './service-queue.js';
+import type { ServiceOverload } from './service-queue.js';
 import type { UpstreamState } from './upstream-state.js';
 
 export type ServiceSchedulerDependencies = {
@@ -132,7 +133,7 @@
       queuedRequests: this.queue.size,
       retryBudgetShare: this.queue.allowance.getShareLeft(),
       retrySlackShare: this.#dependencies.allowance.getSlackShare(),
-      accountsOverShare: this.queue.accountsOverShare,
+      accountsOverShare: this.queue.describeOverload().accountsOverShare.length,
       limitedUpstreams: this.listUpstreams().filter(({ rateLimit }) => rateLimit.isLimited).length,
       upstreams: {
         trusted: count('trusted'),
@@ -143,6 +144,11 @@
     };
   }
 
+  /** What was refused for want of capacity, for the log. */
+  describeOverload(): ServiceOverload {
+    return this.queue.describeOverload();
+  }
+
   /** Chooses an upstream that has a free slot now. */
   choose(needs: PlacementNeeds): PlacementChoice | undefined {
     const { clock, dataCentre, random, trust } = this.#dependencies;
--- a/packages/gateway/src/retry-slack/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export { FleetRetrySlack } from './fleet-retry-slack.js';
