--- a/packages/core/src/retries/sliding-window-retry-budget.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.ts
@@ -42,6 +42,8 @@
 const OFTEN_SHED_RESERVE = 0.25;
 /** No request leaves more than this part of the budget to others. */
 const MAX_RESERVE = 0.75;
+/** Fewer retries than this within two buckets do not show that the budget runs down. */
+const MIN_RECENT_RETRIES = 5;
 /** Share of the expected requests that a forecast of the budget relies on. */
 const FORECAST_FACTOR = 0.8;
 
@@ -120,7 +122,8 @@
     const { allowed } = this.#computeUsage(buckets);
     const oldestIndex = this.#computeBucketIndex() - 1;
     const recent = buckets.filter(({ index }) => index >= oldestIndex);
-    return (sumRetries(recent) * BUCKETS_PER_WINDOW) / 2 > allowed;
+    const retries = sumRetries(recent);
+    return retries >= MIN_RECENT_RETRIES && (retries * BUCKETS_PER_WINDOW) / 2 > allowed;
   }
 
   /**
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -205,6 +205,20 @@
     expect([sent.length, describeEnd()]).to.deep.equal([1, '503 not-run']);
   });
 
+  it('is sent no more often than its route allows while all shed, and refused at once without budget', async () => {
+    setAll(SHED);
+    desk = createDesk(1.2);
+    desk.applyRecords(['u1', 'u2', 'u3'].map((id) => buildUpstreamRecord(id)));
+    start('unsafe', { timeoutMs: 2000 });
+    await wait(50);
+    expect([sent.length, describeEnd()]).to.deep.equal([2, '503 not-run']);
+    ends = [];
+    start('unsafe', { timeoutMs: 2000 });
+    await wait(50);
+    expect([sent.length, describeEnd()]).to.deep.equal([3, '503 not-run']);
+    expect(desk.queue.size).to.equal(0);
+  });
+
   it('pays nothing for an upstream that could not be reached', async () => {
     desk = createDesk(0);
     desk.applyRecords([
