Count unreached daemons as dispatchers in the retry slack

A daemon that does not reach another one leaves it out of the dispatchers, while the other may still take itself for one; both shares together could exceed the slack. Only accounts over their share wait although a slot is free, since a kind that yields could else be refused beside slots that no other can use. Tests of queueing, retries and requests pass.

--- a/packages/core/src/queueing/index.ts
+++ b/packages/core/src/queueing/index.ts
@@ -16,4 +16,4 @@
 export { drawReturnAfterShedMs, ReturnTimes } from './return-times.js';
 export { ServedShares } from './served-shares.js';
 export { WaitJudge } from './wait-judge.js';
-export type { RefusalReason, RequestOrigin, WaitVerdict, YieldReason } from './wait-judge.js';
+export type { RefusalReason, WaitVerdict, YieldReason } from './wait-judge.js';
--- a/packages/core/src/queueing/wait-judge.ts
+++ b/packages/core/src/queueing/wait-judge.ts
@@ -21,9 +21,6 @@
 /** Why a request is refused that waits, or would have to wait. */
 export type RefusalReason = YieldReason | 'slots' | 'expired' | 'retry-budget';
 
-/** Whose request it is, and how urgent. */
-export type RequestOrigin = Pick<QueuedRequest, 'accountName' | 'priority'>;
-
 export type WaitVerdict =
   | { readonly kind: 'wait' }
   | { readonly kind: 'refuse'; readonly reason: RefusalReason; readonly retryAfterMs: number };
@@ -57,6 +54,10 @@
     return this.#accounts.listOverShare();
   }
 
+  isOverShare(accountName = PUBLIC_ACCOUNT.name): boolean {
+    return this.#accounts.getYieldRank(accountName) > 0;
+  }
+
   recordArrival(account = PUBLIC_ACCOUNT): void {
     this.#accounts.recordArrival(account);
   }
@@ -74,7 +75,7 @@
   }
 
   /** Ranks a request among those that wait: lower ranks are served first. */
-  getYieldRank({ accountName = PUBLIC_ACCOUNT.name, priority }: RequestOrigin): number {
+  getYieldRank({ accountName = PUBLIC_ACCOUNT.name, priority }: QueuedRequest): number {
     const rank = this.#accounts.getYieldRank(accountName);
     return rank === 0 ? Number(this.#servedShares.shouldYield(priority)) : rank;
   }
@@ -130,8 +131,8 @@
   #findYieldReason({
     accountName = PUBLIC_ACCOUNT.name,
     priority,
-  }: RequestOrigin): YieldReason | undefined {
-    if (this.#accounts.getYieldRank(accountName) > 0) return 'account-over-share';
+  }: QueuedRequest): YieldReason | undefined {
+    if (this.isOverShare(accountName)) return 'account-over-share';
     return this.#servedShares.shouldYield(priority) ? 'kind-served-more' : undefined;
   }
 }
--- a/packages/gateway/src/overload/fleet-retry-slack.ts
+++ b/packages/gateway/src/overload/fleet-retry-slack.ts
@@ -2,7 +2,7 @@
  * This daemon's share of the slack of the fleet's retry budget, as its view of the fleet changes.
  */
 import { RetrySlackShares } from '@baobabline/core';
-import type { Clock } from '@baobabline/core';
+import type { Clock, Member, SlackDispatcher } from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
 
 import type { FleetLinks } from '../fleet/index.js';
@@ -30,13 +30,19 @@
 
   #loggedShare = 0;
 
+  #dispatchers: {
+    readonly revision: number;
+    readonly known: readonly Member[];
+    readonly list: readonly SlackDispatcher[];
+  } = { revision: -1, known: [], list: [] };
+
   constructor(dependencies: FleetRetrySlackDependencies) {
     this.#dependencies = dependencies;
     const { clock, settings, fleet, getVisiblePart } = dependencies;
     this.#shares = new RetrySlackShares(settings.id, {
       clock,
       windowMs: settings.bounds.retryWindowMs,
-      listDispatchers: () => fleet.roles.listAllDispatchers(),
+      listDispatchers: () => this.#listDispatchers(),
       getVisiblePart,
       countDaemons: () => Math.max(MIN_DAEMON_COUNT, fleet.countExpectedDaemons()),
     });
@@ -54,4 +60,19 @@
     this.#loggedShare = share;
     this.#dependencies.log.info('retry-slack', { share, before });
   }
+
+  /**
+   * The dispatchers, and the daemons that serve although this one does not reach them: they may be
+   * dispatchers in the view of others.
+   */
+  #listDispatchers(): readonly SlackDispatcher[] {
+    const { membership, roles } = this.#dependencies.fleet;
+    const { revision } = membership;
+    const known = roles.listAllDispatchers();
+    if (revision !== this.#dispatchers.revision || known !== this.#dispatchers.known) {
+      const unreached = membership.listServing().filter(({ id }) => membership.brokenLinks.has(id));
+      this.#dispatchers = { revision, known, list: [...known, ...unreached] };
+    }
+    return this.#dispatchers.list;
+  }
 }
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -222,11 +222,13 @@
     this.#serveNext({ servesYielding, retries: new Map(), kinds: new Set() });
   }
 
-  /** Places the requests that wait; returns whether a new one may be placed without waiting after them. */
-  mayPlaceAtOnce({ priority, caller }: RoutedRequest): boolean {
+  /**
+   * Places the requests that wait; returns whether a new one may be placed without waiting. One of an
+   * account over its share may not while others wait, since slots are kept free for them for a while.
+   */
+  mayPlaceAtOnce({ caller }: RoutedRequest): boolean {
     this.serve();
-    if (this.#requests.size === 0) return true;
-    return this.#judge.getYieldRank({ priority, accountName: caller?.account.name }) === 0;
+    return this.#requests.size === 0 || !this.#judge.isOverShare(caller?.account.name);
   }
 
   #serveNext(round: Round): void {
