Keep queued requests in one set of lists for each yield rank

Requests move when the rank of their account changes, which is looked at every 50 ms. Order with ranks: property test; all tests of queueing and requests pass.

--- a/packages/core/src/queueing/queue-lane.ts
+++ b/packages/core/src/queueing/queue-lane.ts
@@ -1,5 +1,6 @@
 /**
- * The queued requests of one client account and kind, in the order in which they are served.
+ * The queued requests that have the same yield rank and are all repeatable or all not, in the order in
+ * which they are served.
  */
 import { SortedList } from './sorted-list.js';
 import type { Keyed } from './sorted-list.js';
@@ -50,38 +51,41 @@
 
   readonly late = new SortedList<LaneEntry<Entry>>();
 
-  /** A request of the same account and kind. */
-  readonly sample: Entry;
+  readonly yieldRank: number;
+
+  readonly isRepeatable: boolean;
+
+  readonly #step: number;
 
-  constructor(sample: Entry) {
-    this.sample = sample;
+  constructor(yieldRank: number, isRepeatable: boolean) {
+    this.yieldRank = yieldRank;
+    this.isRepeatable = isRepeatable;
+    this.#step = yieldRank * YIELDING_STEP;
   }
 
   get size(): number {
     return this.retries.size + this.inTime.size + this.late.size;
   }
 
-  list(yieldRank: number): readonly RankedEntry<Entry>[] {
-    const step = yieldRank * YIELDING_STEP;
+  list(): readonly RankedEntry<Entry>[] {
     return [
       ...this.retries.list().map((item) => ({ ...item, group: RETRY_GROUP })),
-      ...this.inTime.list().map((item) => ({ ...item, group: IN_TIME_GROUP + step })),
-      ...this.late.list().map((item) => ({ ...item, group: LATE_GROUP + step })),
+      ...this.inTime.list().map((item) => ({ ...item, group: IN_TIME_GROUP + this.#step })),
+      ...this.late.list().map((item) => ({ ...item, group: LATE_GROUP + this.#step })),
     ];
   }
 
   /** Finds the first request that is no retry. */
-  findFirst(yieldRank: number): RankedEntry<Entry> | undefined {
-    const step = yieldRank * YIELDING_STEP;
+  findFirst(): RankedEntry<Entry> | undefined {
     const { first } = this.inTime;
-    if (first) return { ...first, group: IN_TIME_GROUP + step };
-    return this.late.first && { ...this.late.first, group: LATE_GROUP + step };
+    if (first) return { ...first, group: IN_TIME_GROUP + this.#step };
+    return this.late.first && { ...this.late.first, group: LATE_GROUP + this.#step };
   }
 
   /** Counts the requests here that are served before one of the given rank, which is no retry. */
-  countAhead(laneYieldRank: number, { yieldRank, isLate, key }: LaneRank): number {
-    if (laneYieldRank < yieldRank) return this.size;
-    if (laneYieldRank > yieldRank) return this.retries.size;
+  countAhead({ yieldRank, isLate, key }: LaneRank): number {
+    if (this.yieldRank < yieldRank) return this.size;
+    if (this.yieldRank > yieldRank) return this.retries.size;
     if (isLate) return this.retries.size + this.inTime.size + this.late.countUpTo(key);
     return this.retries.size + this.inTime.countUpTo(key);
   }
--- a/packages/core/src/queueing/request-queue.test.ts
+++ b/packages/core/src/queueing/request-queue.test.ts
@@ -58,7 +58,7 @@
         known = [...known, request];
         const expected = listInOrder(known, now);
         expect(queue.list(now).map((entry) => entry.id)).to.deep.equal(expected);
-        const next = queue.findNext(now, { wantsLane: () => true, wantsRetry: () => true });
+        const next = queue.findNext(now, { wantsKind: () => true, wantsRetry: () => true });
         expect(next?.id).to.equal(expected[0]);
         const removed = random.next() < 0.5 ? expected[0] : expected.at(-1);
         if (removed !== undefined && random.next() < 0.6) {
@@ -83,13 +83,48 @@
       0,
     );
     const next = queue.findNext(0, {
-      wantsLane: ({ isRepeatable }, isRetry) => !isRetry && isRepeatable === true,
+      wantsKind: (isRepeatable, isRetry) => !isRetry && isRepeatable,
       wantsRetry: () => true,
     });
     expect(next?.id).to.equal(expected[0]);
   });
 });
 
+describe('the order of a RequestQueue with accounts', () => {
+  it('follows the ranks as they change, and is that of a sort by rank within them', () => {
+    const random = createRandom(12);
+    const ranks = new Map<string, number>();
+    const getRank = ({ accountName = '' }: QueuedRequest): number => ranks.get(accountName) ?? 0;
+    const queue = new RequestQueue<QueuedRequest>(getRank);
+    let known: readonly QueuedRequest[] = [];
+    Array.from({ length: 200 }, (_, index) => index).forEach((index) => {
+      const now = index * 60;
+      const accountName = `a${Math.floor(random.next() * 5)}`;
+      ranks.set(`a${Math.floor(random.next() * 5)}`, Math.floor(random.next() * 3));
+      const times = { targetAt: now + 1000, latestSendAt: now + 90_000 };
+      const request = { ...drawRequest(`q${index}`, now, random), accountName, ...times };
+      queue.add(request);
+      known = [...known, request];
+      const retries = known.filter(({ isRetry }) => isRetry);
+      const inRanks = [0, 1, 2].flatMap((rank) =>
+        listInOrder(
+          known.filter((one) => !one.isRetry && getRank(one) === rank),
+          now,
+        ),
+      );
+      expect(queue.list(now).map(({ id }) => id)).to.deep.equal([
+        ...listInOrder(retries, now),
+        ...inRanks,
+      ]);
+      if (random.next() < 0.5) {
+        const [first] = queue.list(now);
+        known = known.filter((one) => one !== first);
+        expect(queue.remove(first?.id ?? '')).to.equal(true);
+      }
+    });
+  });
+});
+
 describe('the cost of an event of a RequestQueue', () => {
   /** Counts how often the fields of queued requests are read in one event of each kind. */
   function countReads(size: number): number {
@@ -98,7 +133,11 @@
     const queue = new RequestQueue<QueuedRequest>();
     const build = (id: string): QueuedRequest =>
       new Proxy(
-        { ...drawRequest(id, 0, random), isRetry: false, targetAt: 5000, latestSendAt: 9000 },
+        {
+          ...drawRequest(id, 0, random),
+          ...{ isRetry: false, targetAt: 5000, latestSendAt: 9000 },
+          accountName: `a${Math.floor(random.next() * 40)}`,
+        },
         {
           get: (target, name, receiver) => {
             reads += 1;
@@ -111,7 +150,7 @@
     const added = build('new');
     queue.countAhead(added, 10);
     queue.add(added);
-    queue.findNext(10, { wantsLane: () => true, wantsRetry: () => true });
+    queue.findNext(10, { wantsKind: () => true, wantsRetry: () => true });
     queue.remove('new');
     queue.takeExpired(10);
     return reads;
--- a/packages/core/src/queueing/request-queue.ts
+++ b/packages/core/src/queueing/request-queue.ts
@@ -8,8 +8,8 @@
  * later ones of higher priority after some time and no priority starves. Requests that have to yield,
  * since their account or their kind has got more than its share, come after all others.
  *
- * The requests are kept in sorted lists, one set for each account and kind, so that an event takes
- * about as long with a thousand requests as with ten.
+ * The requests are kept in sorted lists, one set for each yield rank, so that an event takes about as
+ * long with a thousand requests as with ten. If the rank of an account changes, its requests move.
  */
 import { QueueLane, RETRY_GROUP } from './queue-lane.js';
 import type { QueuedRequest, RankedEntry } from './queue-lane.js';
@@ -21,20 +21,28 @@
 /** A request is late if less than this many expected attempt durations are left to its target. */
 const LATE_FACTOR = 1.5;
 
+/** How often it is looked whether requests have to yield that did not, or no longer. */
+const RANKS_MAX_AGE_MS = 50;
+
+/** The queued requests of one account and priority, which yield alike. */
+type Origin = {
+  readonly sample: QueuedRequest;
+  readonly yieldRank: number;
+  readonly ids: Set<string>;
+};
+
 type Place<Entry> = {
   readonly lane: QueueLane<Entry>;
   readonly serial: number;
   readonly entry: Entry;
-  /** Its key in the list that holds it until it is late; undefined if it is a retry. */
+  /** When it becomes late; undefined if it is a retry. */
   readonly lateKey: number | undefined;
 };
 
-type Placed<Entry> = Keyed & { readonly place: Place<Entry> };
-
 /** Tells which requests `findNext` looks for. */
 export type Wanted<Entry> = {
-  /** Whether any requests of this account and kind are wanted, of which one is given. */
-  readonly wantsLane: (sample: Entry, isRetry: boolean, yieldRank: number) => boolean;
+  /** Whether requests are wanted that are repeatable or not, that are retries or not, of a rank. */
+  readonly wantsKind: (isRepeatable: boolean, isRetry: boolean, yieldRank: number) => boolean;
   readonly wantsRetry: (entry: Entry) => boolean;
 };
 
@@ -50,8 +58,8 @@
   return (isLate ? latestSendAt : targetAt) + priority * PRIORITY_STEP_MS;
 }
 
-function buildLaneKey({ accountName, priority, isRepeatable }: QueuedRequest): string {
-  return `${priority}|${isRepeatable ?? ''}|${accountName ?? ''}`;
+function buildOriginKey({ accountName = '', priority }: QueuedRequest): string {
+  return `${priority}|${accountName}`;
 }
 
 function compareRanked(left: RankedEntry<unknown>, right: RankedEntry<unknown>): number {
@@ -67,15 +75,19 @@
 
   readonly #places = new Map<string, Place<Entry>>();
 
-  readonly #lanes = new Map<string, QueueLane<Entry>>();
+  readonly #origins = new Map<string, Origin>();
+
+  #lanes: readonly QueueLane<Entry>[] = [];
 
   /** Requests that are not late yet, by the time at which they will be. */
-  readonly #becomingLate = new SortedList<Placed<Entry>>();
+  readonly #becomingLate = new SortedList<Keyed & { readonly id: string }>();
 
-  readonly #expiring = new SortedList<Placed<Entry>>();
+  readonly #expiring = new SortedList<Keyed & { readonly id: string }>();
 
   #serial = 0;
 
+  #rankedAt = Number.NEGATIVE_INFINITY;
+
   /**
    * `getYieldRank` ranks the requests of an account and priority, of which one is given: those of rank
    * 0 are served before those of rank 1, and so on.
@@ -92,42 +104,33 @@
     this.remove(entry.id);
     this.#serial += 1;
     const serial = this.#serial;
-    const lane = this.#getLane(entry);
     const lateKey = entry.isRetry ? undefined : computeLateKey(entry);
-    const place = { lane, serial, entry, lateKey };
-    this.#places.set(entry.id, place);
-    this.#expiring.add({ key: entry.latestSendAt, serial, place });
-    const placed = { key: computeDueAt(entry, false), serial, entry };
-    if (lateKey === undefined) lane.retries.add(placed);
-    else {
-      lane.inTime.add(placed);
-      this.#becomingLate.add({ key: lateKey, serial, place });
-    }
+    this.#putPlace({ lane: this.#getLane(entry), serial, entry, lateKey }, false);
+    this.#expiring.add({ key: entry.latestSendAt, serial, id: entry.id });
+    if (lateKey !== undefined) this.#becomingLate.add({ key: lateKey, serial, id: entry.id });
+    this.#addToOrigin(entry);
   }
 
   /** Removes a request; returns whether it was queued. */
   remove(id: string): boolean {
     const place = this.#places.get(id);
     if (!place) return false;
-    const { lane, serial, entry, lateKey } = place;
-    this.#places.delete(id);
+    const { serial, entry, lateKey } = place;
+    this.#takePlace(place);
     this.#expiring.remove({ key: entry.latestSendAt, serial });
     if (lateKey !== undefined) this.#becomingLate.remove({ key: lateKey, serial });
-    const soon = { key: computeDueAt(entry, false), serial };
-    if (lateKey === undefined) lane.retries.remove(soon);
-    else {
-      lane.inTime.remove(soon);
-      lane.late.remove({ key: computeDueAt(entry, true), serial });
-    }
-    if (lane.size === 0) this.#lanes.delete(buildLaneKey(entry));
+    const originKey = buildOriginKey(entry);
+    const origin = this.#origins.get(originKey);
+    origin?.ids.delete(id);
+    if (origin?.ids.size === 0) this.#origins.delete(originKey);
     return true;
   }
 
   /** Lists the queued requests in the order in which they would be served. */
   list(now: number): readonly Entry[] {
     this.#refresh(now);
-    return [...this.#lanes.values()]
-      .flatMap((lane) => lane.list(this.#getYieldRank(lane.sample)))
+    return this.#lanes
+      .flatMap((lane) => lane.list())
       .sort(compareRanked)
       .map(({ entry }) => entry);
   }
@@ -135,7 +138,7 @@
   /** Finds the request to serve next among those that are wanted. */
   findNext(now: number, wanted: Wanted<Entry>): Entry | undefined {
     this.#refresh(now);
-    const first = [...this.#lanes.values()].reduce<RankedEntry<Entry> | undefined>((best, lane) => {
+    const first = this.#lanes.reduce<RankedEntry<Entry> | undefined>((best, lane) => {
       const next = this.#findFirst(lane, wanted);
       return next && goesFirst(next, best) ? next : best;
     }, undefined);
@@ -147,12 +150,11 @@
     this.#refresh(now);
     const isLate = !request.isRetry && now > computeLateKey(request);
     const key = computeDueAt(request, isLate);
-    const yieldRank = this.#getYieldRank(request);
-    return [...this.#lanes.values()].reduce((sum, lane) => {
-      if (request.isRetry) return sum + lane.retries.countUpTo(key);
-      const laneRank = this.#getYieldRank(lane.sample);
-      return sum + lane.countAhead(laneRank, { yieldRank, isLate, key });
-    }, 0);
+    if (request.isRetry) {
+      return this.#lanes.reduce((sum, { retries }) => sum + retries.countUpTo(key), 0);
+    }
+    const rank = { yieldRank: this.#findYieldRank(request), isLate, key };
+    return this.#lanes.reduce((sum, lane) => sum + lane.countAhead(rank), 0);
   }
 
   /** Removes and returns the requests whose latest send time has passed. */
@@ -160,42 +162,95 @@
     const expired = this.#expiring
       .list()
       .slice(0, this.#expiring.countUpTo(now))
-      .map(({ place }) => place)
-      .sort((left, right) => left.serial - right.serial);
-    expired.forEach(({ entry }) => this.remove(entry.id));
-    return expired.map(({ entry }) => entry);
+      .sort((left, right) => left.serial - right.serial)
+      .flatMap(({ id }) => this.#places.get(id)?.entry ?? []);
+    expired.forEach(({ id }) => this.remove(id));
+    return expired;
   }
 
   #findFirst(
     lane: QueueLane<Entry>,
-    { wantsLane, wantsRetry }: Wanted<Entry>,
+    { wantsKind, wantsRetry }: Wanted<Entry>,
   ): RankedEntry<Entry> | undefined {
-    const { sample } = lane;
-    const yieldRank = this.#getYieldRank(sample);
+    const { yieldRank, isRepeatable, retries } = lane;
     const retry =
-      lane.retries.size > 0 && wantsLane(sample, true, yieldRank)
-        ? lane.retries.list().find(({ entry }) => wantsRetry(entry))
+      retries.size > 0 && wantsKind(isRepeatable, true, yieldRank)
+        ? retries.list().find(({ entry }) => wantsRetry(entry))
         : undefined;
     if (retry) return { ...retry, group: RETRY_GROUP };
-    return wantsLane(sample, false, yieldRank) ? lane.findFirst(yieldRank) : undefined;
+    return wantsKind(isRepeatable, false, yieldRank) ? lane.findFirst() : undefined;
+  }
+
+  #findYieldRank(request: QueuedRequest): number {
+    const origin = this.#origins.get(buildOriginKey(request));
+    return origin ? origin.yieldRank : this.#getYieldRank(request);
   }
 
-  #getLane(entry: Entry): QueueLane<Entry> {
-    const key = buildLaneKey(entry);
-    const known = this.#lanes.get(key);
+  #addToOrigin(entry: Entry): void {
+    const key = buildOriginKey(entry);
+    const known = this.#origins.get(key);
+    if (known) known.ids.add(entry.id);
+    else {
+      const yieldRank = this.#getYieldRank(entry);
+      this.#origins.set(key, { sample: entry, yieldRank, ids: new Set([entry.id]) });
+    }
+  }
+
+  #getLane(entry: Entry, yieldRank = this.#findYieldRank(entry)): QueueLane<Entry> {
+    const { isRepeatable = false } = entry;
+    const known = this.#lanes.find(
+      (lane) => lane.yieldRank === yieldRank && lane.isRepeatable === isRepeatable,
+    );
     if (known) return known;
-    const lane = new QueueLane(entry);
-    this.#lanes.set(key, lane);
+    const lane = new QueueLane<Entry>(yieldRank, isRepeatable);
+    this.#lanes = [...this.#lanes, lane];
     return lane;
   }
 
-  /** Moves the requests that have become late. */
+  #putPlace(place: Place<Entry>, isLate: boolean): void {
+    const { lane, serial, entry } = place;
+    this.#places.set(entry.id, place);
+    const placed = { key: computeDueAt(entry, isLate), serial, entry };
+    if (entry.isRetry) lane.retries.add(placed);
+    else if (isLate) lane.late.add(placed);
+    else lane.inTime.add(placed);
+  }
+
+  /** Takes a request out of its lane; returns whether it was late. */
+  #takePlace({ lane, serial, entry }: Place<Entry>): boolean {
+    this.#places.delete(entry.id);
+    const soon = { key: computeDueAt(entry, false), serial };
+    if (entry.isRetry) {
+      lane.retries.remove(soon);
+      return false;
+    }
+    if (lane.inTime.remove(soon)) return false;
+    lane.late.remove({ key: computeDueAt(entry, true), serial });
+    return true;
+  }
+
+  /** Moves the requests that have become late, and those whose rank has changed. */
   #refresh(now: number): void {
-    this.#becomingLate
-      .takeFirst(this.#becomingLate.countBelow(now))
-      .forEach(({ serial, place: { lane, entry } }) => {
-        lane.inTime.remove({ key: computeDueAt(entry, false), serial });
-        lane.late.add({ key: computeDueAt(entry, true), serial, entry });
+    this.#becomingLate.takeFirst(this.#becomingLate.countBelow(now)).forEach(({ id }) => {
+      const place = this.#places.get(id);
+      if (!place) return;
+      this.#takePlace(place);
+      this.#putPlace(place, true);
+    });
+    if (now - this.#rankedAt < RANKS_MAX_AGE_MS) return;
+    this.#rankedAt = now;
+    this.#origins.forEach((origin, key) => this.#refreshOrigin(origin, key));
+  }
+
+  #refreshOrigin({ sample, yieldRank: before, ids }: Origin, key: string): void {
+    const yieldRank = this.#getYieldRank(sample);
+    if (yieldRank === before) return;
+    this.#origins.set(key, { sample, yieldRank, ids });
+    [...ids]
+      .flatMap((id) => this.#places.get(id) ?? [])
+      .forEach((place) => {
+        const isLate = this.#takePlace(place);
+        this.#putPlace({ ...place, lane: this.#getLane(place.entry, yieldRank) }, isLate);
       });
   }
 }
--- a/packages/core/src/queueing/simulated-overload.ts
+++ b/packages/core/src/queueing/simulated-overload.ts
@@ -182,7 +182,7 @@
     if (!daemon || busy >= slots) return;
     const isYieldingTurn = isFormer || now % YIELDING_INTERVAL_MS === 0;
     const next = daemon.queue.findNext(now, {
-      wantsLane: (_sample, _isRetry, yieldRank) => yieldRank === 0 || isYieldingTurn,
+      wantsKind: (_isRepeatable, _isRetry, yieldRank) => yieldRank === 0 || isYieldingTurn,
       wantsRetry: () => true,
     });
     if (next) {
--- a/packages/core/src/queueing/sorted-list.ts
+++ b/packages/core/src/queueing/sorted-list.ts
@@ -19,10 +19,6 @@
     return this.#items[0];
   }
 
-  getAt(index: number): Item | undefined {
-    return this.#items[index];
-  }
-
   list(): readonly Item[] {
     return this.#items;
   }
@@ -31,9 +27,12 @@
     this.#items.splice(this.#findIndex(item), 0, item);
   }
 
-  remove(item: Keyed): void {
+  /** Removes an entry; returns whether it was in the list. */
+  remove(item: Keyed): boolean {
     const index = this.#findIndex(item);
-    if (this.#items[index]?.serial === item.serial) this.#items.splice(index, 1);
+    const isFound = this.#items[index]?.serial === item.serial;
+    if (isFound) this.#items.splice(index, 1);
+    return isFound;
   }
 
   /** Counts the entries whose key is at most `key`. */
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -234,7 +234,7 @@
   #serveNext(round: Round): void {
     const { servesYielding, retries, kinds } = round;
     const waiter = this.#requests.findNext(this.#ports.clock.now(), {
-      wantsLane: ({ isRepeatable }, isRetry, yieldRank) =>
+      wantsKind: (isRepeatable, isRetry, yieldRank) =>
         isRetry
           ? [...retries.values()].filter((one) => one === isRepeatable).length < MAX_BLOCKED_RETRIES
           : !kinds.has(isRepeatable) && (servesYielding || yieldRank === 0),
