--- /dev/null
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -0,0 +1,300 @@
+/**
+ * The requests of one service that wait at this daemon: for a free slot, or for the retry budget.
+ * Refuses those that cannot be served, and tells their callers when to return.
+ */
+import {
+  ArrivalRate,
+  computeMaxFailureProbability,
+  RequestQueue,
+  RetryWaitList,
+  SlidingWindowRetryBudget,
+  WaitJudge,
+} from '@baobabline/core';
+import type {
+  Clock,
+  QueuedRequest,
+  QueueState,
+  RandomSource,
+  RefusalReason,
+  RetryClaim,
+  SlidingWindowRetryBudgetSettings,
+  WaitingRetry,
+  WaitVerdict,
+} from '@baobabline/core';
+
+import type { RoutedRequest } from './types.js';
+
+/** What a queued request does when its wait ends. */
+export type WaitEnds = {
+  /** Called when the latest time at which it may be sent has passed. */
+  readonly onExpired: () => void;
+  /** Called when it could only be sent too late. */
+  readonly onHopeless: (reason: RefusalReason, retryAfterMs: number) => void;
+};
+
+/** A queued request, with callbacks that place or refuse it. */
+export type QueuedPlacement = QueuedRequest &
+  WaitEnds & {
+    /** Whether it may run more than once. */
+    readonly isRepeatable: boolean;
+    /** Tries to place the request; returns whether it can leave the queue. */
+    readonly tryPlace: () => boolean;
+  };
+
+/** A request that waits for the retry budget. */
+export type QueuedRetry = WaitingRetry & WaitEnds & { readonly onGranted: () => void };
+
+export type ServiceOverload = {
+  readonly refused: ReadonlyMap<RefusalReason, number>;
+  readonly accountsOverShare: readonly string[];
+};
+
+export type ServiceQueuePorts = {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly allowance: SlidingWindowRetryBudgetSettings;
+  /** Counts the slots that this daemon may use, given the mean time of an attempt. */
+  readonly countSlots: (now: number, meanAttemptMs: number) => number;
+  /** Counts the slots of the service that may be used, by this daemon and others. */
+  readonly countAllSlots: () => number;
+  /** Returns this daemon's part of an account's requests; undefined if it is unknown. */
+  readonly findOwnPart: (accountName: string) => number | undefined;
+};
+
+/** Test requests leave this share of the retry budget to requests that fail unexpectedly. */
+const MIN_BUDGET_SHARE_FOR_TESTS = 0.5;
+/** Hedges leave this share of the retry budget to requests that fail. */
+const MIN_BUDGET_SHARE_FOR_HEDGES = 0.3;
+const POLL_INTERVAL_MS = 10;
+/**
+ * Polls until requests of accounts over their share may take slots again. Until then a slot that has
+ * become free is seen by the other daemons, at which requests of other accounts may wait for it.
+ */
+const POLLS_PER_YIELDING_TURN = 3;
+/** How often the queue is checked for requests that can no longer be served in time. */
+const RECHECK_INTERVAL_MS = 100;
+/** Assumed until the first attempt has ended. */
+const INITIAL_ATTEMPT_MS = 150;
+/** A computed slot count is reused for this long. */
+const SLOT_COUNT_MAX_AGE_MS = 20;
+/** Weight of the newest attempt in the moving average. */
+const NEWEST_WEIGHT = 0.05;
+/** After so many retries that found no slot, all others of their kind are skipped until the next event. */
+const MAX_BLOCKED_RETRIES = 4;
+/** One round of placing requests, and those that found no slot in it. */
+type Round = {
+  readonly servesYielding: boolean;
+  readonly retries: Map<string, boolean>;
+  readonly kinds: Set<boolean>;
+};
+
+export class ServiceQueue {
+  readonly allowance: SlidingWindowRetryBudget;
+
+  readonly #ports: ServiceQueuePorts;
+
+  readonly #requests: RequestQueue<QueuedPlacement>;
+
+  readonly #retries: RetryWaitList<QueuedRetry>;
+
+  readonly #judge: WaitJudge;
+
+  readonly #arrivals: ArrivalRate;
+
+  readonly #refused = new Map<RefusalReason, number>();
+
+  #ticketCount = 0;
+
+  #meanAttemptMs = INITIAL_ATTEMPT_MS;
+
+  #room = { at: Number.NEGATIVE_INFINITY, slots: 0 };
+
+  #judgedAt = 0;
+
+  #pollCount = 0;
+
+  #poll: NodeJS.Timeout | undefined;
+
+  constructor(ports: ServiceQueuePorts) {
+    const { clock } = ports;
+    this.#ports = ports;
+    this.allowance = new SlidingWindowRetryBudget(ports.allowance, clock);
+    this.#retries = new RetryWaitList(this.allowance, clock);
+    this.#judge = new WaitJudge(ports.random, {
+      ...ports,
+      getCapacityPerMs: () => ports.countAllSlots() / this.#meanAttemptMs,
+    });
+    this.#arrivals = new ArrivalRate(clock);
+    this.#requests = new RequestQueue((request) => this.#judge.getYieldRank(request));
+  }
+
+  get size(): number {
+    return this.#requests.size + this.#retries.size;
+  }
+
+  /** Sums up what was refused since the start, by reason, and the accounts over their share now. */
+  describeOverload(): ServiceOverload {
+    const refused = new Map(this.#refused);
+    return { refused, accountsOverShare: this.#judge.listOverShare() };
+  }
+
+  /** Whether the retry budget has room for a test that fails. */
+  get mayTest(): boolean {
+    const { allowance } = this;
+    return allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_TESTS && !allowance.isRunningDown;
+  }
+
+  /** Counts a new request towards the retry budget, the arrival rate and its account's share. */
+  recordArrival({ priority, caller }: RoutedRequest): void {
+    this.allowance.recordRequest(priority);
+    this.#arrivals.recordArrival();
+    this.#judge.recordArrival(caller?.account);
+  }
+
+  /** Records that a request is sent to an upstream for the first time. */
+  recordServed({ priority, caller }: RoutedRequest): void {
+    this.#judge.recordServed(priority, caller?.account);
+  }
+
+  /** Records that a request was refused that waited, or would have had to wait. */
+  recordRefused({ priority }: RoutedRequest, reason: RefusalReason): void {
+    this.#refused.set(reason, (this.#refused.get(reason) ?? 0) + 1);
+    this.#judge.recordRefused(priority, reason);
+  }
+
+  recordAttemptTime(elapsedMs: number): void {
+    this.#meanAttemptMs += (elapsedMs - this.#meanAttemptMs) * NEWEST_WEIGHT;
+  }
+
+  /** Takes a hedge from the retry budget if enough of the budget is left. */
+  takeHedge(): boolean {
+    const isEnoughLeft = this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_HEDGES;
+    return isEnoughLeft && !this.allowance.isRunningDown && this.takeRetry();
+  }
+
+  /** Takes a retry for a request, unless others wait for it that go first. */
+  takeRetry(claim: RetryClaim = { priority: 0, shedCount: 1 }): boolean {
+    return this.#retries.takeRetry(claim);
+  }
+
+  /** The highest failure probability at which a request is sent now rather than queued. */
+  computeMaxFailureProbability(timeLeftMs: number): number {
+    return computeMaxFailureProbability(this.#computeState(this.#requests.size), timeLeftMs);
+  }
+
+  /** Decides whether a request should be queued. */
+  judgeWait(request: QueuedRequest): WaitVerdict {
+    const ahead = this.#requests.countAhead(request, this.#ports.clock.now());
+    return this.#judge.judge(request, this.#computeState(ahead), false);
+  }
+
+  /** The state of the queue as a request joining it would find it, for the log. */
+  describeState(request: QueuedRequest): QueueState {
+    return this.#computeState(this.#requests.countAhead(request, this.#ports.clock.now()));
+  }
+
+  /** Queues a request; returns what names its place, since several may bear the same id. */
+  wait(waiter: QueuedPlacement): string {
+    const ticket = this.#createTicket();
+    this.#requests.add({ ...waiter, id: ticket });
+    return ticket;
+  }
+
+  /** Queues a request until the retry budget covers it; returns its ticket, or undefined if it never will. */
+  waitForRetry(waiter: QueuedRetry): string | undefined {
+    if (!this.#retries.shouldWait(waiter)) return undefined;
+    const ticket = this.#createTicket();
+    this.#retries.add({ ...waiter, id: ticket });
+    return ticket;
+  }
+
+  remove(ticket: string): void {
+    if (!this.#requests.remove(ticket)) this.#retries.remove(ticket);
+  }
+
+  /**
+   * Places queued requests while upstreams have free slots. If a first attempt finds no slot, later
+   * requests that are as repeatable as it is are skipped, since they would find none either.
+   */
+  serve(isYieldingTurn = false): void {
+    if (this.#requests.size === 0) return;
+    const servesYielding = isYieldingTurn || this.#judge.listOverShare().length === 0;
+    this.#serveNext({ servesYielding, retries: new Map(), kinds: new Set() });
+  }
+
+  /**
+   * Places the requests that wait; returns whether a new one may be placed without waiting. One of an
+   * account over its share may not while others wait, since slots are kept free for them for a while.
+   */
+  mayPlaceAtOnce({ caller }: RoutedRequest): boolean {
+    this.serve();
+    return this.#requests.size === 0 || !this.#judge.isOverShare(caller?.account.name);
+  }
+
+  #serveNext(round: Round): void {
+    const { servesYielding, retries, kinds } = round;
+    const waiter = this.#requests.findNext(this.#ports.clock.now(), {
+      wantsKind: (isRepeatable, isRetry, yieldRank) =>
+        isRetry
+          ? [...retries.values()].filter((one) => one === isRepeatable).length < MAX_BLOCKED_RETRIES
+          : !kinds.has(isRepeatable) && (servesYielding || yieldRank === 0),
+      wantsRetry: ({ id }) => !retries.has(id),
+    });
+    if (!waiter) return;
+    if (waiter.tryPlace()) this.#requests.remove(waiter.id);
+    else if (waiter.isRetry) retries.set(waiter.id, waiter.isRepeatable);
+    else kinds.add(waiter.isRepeatable);
+    this.#serveNext(round);
+  }
+
+  #createTicket(): string {
+    this.#ticketCount += 1;
+    this.#startPolling();
+    return String(this.#ticketCount);
+  }
+
+  /** Polls, since no event tells when a peer frees a slot or a retry leaves the budget's window. */
+  #startPolling(): void {
+    this.#poll ??= setTimeout(() => {
+      this.#poll = undefined;
+      const now = this.#ports.clock.now();
+      this.#requests.takeExpired(now).forEach((waiter) => waiter.onExpired());
+      this.#retries.takeGranted().forEach((waiter) => waiter.onGranted());
+      this.#pollCount += 1;
+      this.serve(this.#pollCount % POLLS_PER_YIELDING_TURN === 0);
+      this.#refuseHopeless(now);
+      if (this.size > 0) this.#startPolling();
+    }, POLL_INTERVAL_MS);
+  }
+
+  /** Refuses queued requests that can no longer be sent in time, as slots or retries have been lost. */
+  #refuseHopeless(now: number): void {
+    if (now - this.#judgedAt < RECHECK_INTERVAL_MS) return;
+    this.#judgedAt = now;
+    const state = this.#computeState(0);
+    this.#requests.list(now).forEach((waiter, ahead) => {
+      const verdict = this.#judge.judge(waiter, { ...state, waiting: ahead }, true);
+      if (verdict.kind === 'wait') return;
+      this.#requests.remove(waiter.id);
+      waiter.onHopeless(verdict.reason, verdict.retryAfterMs);
+    });
+    this.#retries
+      .takeHopeless()
+      .forEach((waiter) =>
+        waiter.onHopeless('retry-budget', this.#judge.assignReturn(waiter.latestSendAt, state)),
+      );
+  }
+
+  /** The queue state for a request that has `ahead` requests before it. */
+  #computeState(ahead: number): QueueState {
+    const now = this.#ports.clock.now();
+    if (now - this.#room.at >= SLOT_COUNT_MAX_AGE_MS)
+      this.#room = { at: now, slots: this.#ports.countSlots(now, this.#meanAttemptMs) };
+    return {
+      waiting: ahead,
+      slots: this.#room.slots,
+      meanAttemptMs: this.#meanAttemptMs,
+      arrivalsPerMs: this.#arrivals.getPerMs(),
+    };
+  }
+}
