Derive the bound of held bytes from the VM's memory

Cause: 96 MiB of held bodies beside a process of up to 137 MB are 238 MB, more than a VM of 202 MB has. Change: computeMaxHeldBytes takes 160 MB for the process from the VM's memory where the settings state it, between 8 MiB and the configured bound. Result: 42 MB for 202 MB, 90 MB for 250 MB, unchanged for 350 MB and more.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,7 +30,7 @@
 import type { ExceptionOrigin } from './exceptions/index.js';
 import { FleetSocket } from './datagrams/index.js';
 import type { DatagramTag } from './datagrams/index.js';
-import { HeldBytes } from './held-bytes/index.js';
+import { computeMaxHeldBytes, HeldBytes } from './held-bytes/index.js';
 import { FleetLinks, TrafficMeter } from './fleet/index.js';
 import type { TrafficPurpose } from './fleet/index.js';
 import { closeServer, HttpClient, listenOn } from './http/index.js';
@@ -155,7 +155,7 @@
       this.#log.warn('record-unusable', { key, reason }),
     );
     this.#fleetSocket = this.#createFleetSocket();
-    this.#heldBytes = new HeldBytes(settings.maxHeldBytes);
+    this.#heldBytes = new HeldBytes(computeMaxHeldBytes(settings));
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#recordExchange = this.#createRecordExchange();
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -69,7 +69,7 @@
   dispatchersPerDataCentre: z.int().min(1).default(1),
   /** How long callers may cache a directory response, in seconds. */
   directoryHoldSeconds: z.number().positive().default(1),
-  /** Bytes of all requests and answers that are held at the same time. */
+  /** Bytes of all requests and answers held at the same time; less on a VM with little memory. */
   maxHeldBytes: z
     .int()
     .positive()
