--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './documents/index.js';
 export * from './detection/index.js';
 export * from './dispatchers/index.js';
+export * from './downloads/index.js';
 export * from './ejection/index.js';
 export * from './entry-points/index.js';
 export * from './idempotency-keys/index.js';
