Reserve memory for downloads, refuse those that cannot be delivered, and close slow readers

Cause: answers that were sent for at the same time exceeded the memory together, and callers that do not read kept memory for as long as they liked. Change: DownloadGate (gateway/downloads) judges each download before it is sent and before a hedge; the expected bytes of its answer are reserved in HeldBytes. Where memory is short, connections of callers that have not read for 2 s are closed, by unread bytes times age. Large bodies of requests are bounded at each upstream. All of it only where the configuration has a download route.

--- /dev/null
+++ b/packages/gateway/src/downloads/download-gate.ts
@@ -0,0 +1,126 @@
+/**
+ * Admits downloads: learns how large their answers are, reserves memory for those that are sent, and
+ * refuses those whose answers could not be held or delivered. Inactive while no route is a download.
+ */
+import { AnswerSizes, createRefusal, judgeDownload, LinkSchedule } from '@baobabline/core';
+import type { Clock, DownloadVerdict, Route, RoutingConfiguration } from '@baobabline/core';
+
+import type { HeldBytes } from '../held-bytes/index.js';
+import type { DownloadControl, DownloadRefusal, RoutedRequest } from '../requests/index.js';
+
+export type DownloadGatePorts = {
+  readonly clock: Clock;
+  readonly linkMegabitsPerSecond: number;
+  readonly heldBytes: HeldBytes;
+  readonly onRefused: (cause: 'link' | 'memory') => void;
+};
+
+/** What an operator sees of the memory and the link. */
+export type DownloadState = {
+  readonly heldBytes: number;
+  readonly maxHeldBytes: number;
+  /** Bytes that the link still has to pass on, those of expected answers included. */
+  readonly linkBytes: number;
+};
+
+const MS_PER_SECOND = 1000;
+const DETAILS: Readonly<Record<'link' | 'memory', string>> = {
+  link: 'The answer could not be delivered before the deadline',
+  memory: 'There is no room to hold the answer',
+};
+
+function isDownload({ kind }: Route): boolean {
+  return kind === 'download';
+}
+
+export class DownloadGate implements DownloadControl {
+  readonly #ports: DownloadGatePorts;
+
+  readonly #sizes = new AnswerSizes();
+
+  readonly #link: LinkSchedule;
+
+  #isActive = false;
+
+  constructor(ports: DownloadGatePorts) {
+    this.#ports = ports;
+    this.#link = new LinkSchedule(ports.linkMegabitsPerSecond, ports.clock);
+  }
+
+  /** Whether the configuration in force has a download route. */
+  get isActive(): boolean {
+    return this.#isActive;
+  }
+
+  applyConfiguration({ routes }: RoutingConfiguration): void {
+    const downloads = routes.filter(isDownload);
+    this.#isActive = downloads.length > 0;
+    this.#sizes.keep(new Set(downloads.map(({ id }) => id)));
+    this.#ports.heldBytes.setMayEvictUnread(this.#isActive);
+  }
+
+  checkDelivery(request: RoutedRequest, attemptMs: number): DownloadRefusal | undefined {
+    if (!isDownload(request.route)) return undefined;
+    const verdict = this.#judge(request, attemptMs);
+    if (verdict.kind === 'send') return undefined;
+    const { cause, deliveryMs } = verdict;
+    const { meanBytes, highBytes } = this.#sizes.getExpected(request.route.id);
+    const retryAfterMs = verdict.retryAfterMs + this.#link.recordPromise(meanBytes);
+    this.#ports.onRefused(cause);
+    return {
+      step: {
+        step: 'undeliverable',
+        cause,
+        highBytes,
+        deliveryMs: Math.round(deliveryMs),
+        retryAfterMs: Math.round(retryAfterMs),
+        ...this.describe(),
+      },
+      error: createRefusal('noCapacity', {
+        detail: DETAILS[cause],
+        retryAfterSeconds: retryAfterMs / MS_PER_SECOND,
+      }),
+    };
+  }
+
+  canDeliver(request: RoutedRequest, attemptMs: number): boolean {
+    return !isDownload(request.route) || this.#judge(request, attemptMs).kind === 'send';
+  }
+
+  expectAnswer({ route }: RoutedRequest): { readonly bytes: number; readonly end: () => void } {
+    if (!isDownload(route)) return { bytes: 0, end: () => undefined };
+    const { meanBytes, highBytes } = this.#sizes.getExpected(route.id);
+    return { bytes: highBytes, end: this.#link.expect(meanBytes) };
+  }
+
+  recordAnswer({ route }: RoutedRequest, bytes: number): void {
+    if (isDownload(route)) this.#sizes.record(route.id, bytes);
+  }
+
+  /** Records bytes of any request or answer that leave over the link. */
+  recordWritten(bytes: number): void {
+    if (this.#isActive) this.#link.recordWritten(bytes);
+  }
+
+  describe(): DownloadState {
+    const { heldBytes } = this.#ports;
+    return {
+      heldBytes: heldBytes.total,
+      maxHeldBytes: heldBytes.maxBytes,
+      linkBytes: Math.round(this.#link.writtenBytes + this.#link.expectedBytes),
+    };
+  }
+
+  #judge({ route, endAt }: RoutedRequest, attemptMs: number): DownloadVerdict {
+    const size = this.#sizes.getExpected(route.id);
+    return judgeDownload({
+      size,
+      attemptMs,
+      bytesPerMs: this.#link.bytesPerMs,
+      writtenBytes: this.#link.writtenBytes,
+      expectedBytes: this.#link.expectedBytes,
+      timeLeftMs: endAt - this.#ports.clock.now(),
+      missingBytes: this.#ports.heldBytes.computeMissing(size.highBytes),
+    });
+  }
+}
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -39,6 +39,8 @@
   readonly onRefused: (error: RequestError, requestId: string, target: string) => void;
   /** Called for each request that ends without its answer as the listener closes. */
   readonly onCut: (cut: CutRequest) => void;
+  /** Called when a caller's connection was closed since it did not read, and memory was short. */
+  readonly onSlowReader?: (slow: SlowReader) => void;
   /** Called with what a request or its answer made the daemon throw. */
   readonly onException: (error: unknown) => void;
 };
@@ -60,6 +62,14 @@
   mayTake(endAt: number): boolean;
 }
 
+/** A caller that did not read its answer. */
+export type SlowReader = {
+  readonly id: string;
+  /** Bytes of the answer that it had not taken. */
+  readonly bytes: number;
+  readonly ageMs: number;
+};
+
 /** One request on its connection. */
 type CallerExchange = {
   readonly id: string;
@@ -388,7 +398,7 @@
         else {
           open.recordAnswered();
           this.#closeWhereLast(exchange);
-          this.#recordAnswerBytes(exchange, end.answer.bodyBytes);
+          this.#addUnread(exchange, end.answer.bodyBytes);
           writeAnswer(response, end.answer);
         }
       });
@@ -403,10 +413,16 @@
   }
 
   /** An answer is held until its caller has taken it. */
-  #recordAnswerBytes({ endings }: CallerExchange, bytes: number): void {
-    const { heldBytes } = this.#ports;
-    heldBytes.add(bytes);
-    endings.push(() => heldBytes.release(bytes));
+  #addUnread({ id, response, connection, turn, endings }: CallerExchange, bytes: number): void {
+    const unread = this.#ports.heldBytes.addUnread(bytes, {
+      // One that waits for an answer before it is not late by its caller's fault.
+      countUnread: () => (connection.pipeline.isFirst(turn) ? response.writableLength : 0),
+      onEvicted: (slow) => {
+        this.#ports.onSlowReader?.({ id, ...slow });
+        connection.abort();
+      },
+    });
+    endings.push(() => unread.close());
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
   PlatformAdapter,
   RecordSource,
 } from './dialect/index.js';
+import { DownloadGate } from './downloads/index.js';
 import { FleetQuarantine } from './crash-quarantine/index.js';
 import { createDirectoryServer, createReadinessServer } from './directory/index.js';
 import { CallerServer, REQUEST_PHASES } from './edge/index.js';
@@ -102,6 +103,8 @@
 
   readonly #heldBytes: HeldBytes;
 
+  readonly #downloads: DownloadGate;
+
   readonly #services: RoutedServices;
 
   readonly #fleet: FleetLinks;
@@ -155,7 +158,13 @@
       this.#log.warn('record-unusable', { key, reason }),
     );
     this.#fleetSocket = this.#createFleetSocket();
-    this.#heldBytes = new HeldBytes(computeMaxHeldBytes(settings));
+    this.#heldBytes = new HeldBytes(computeMaxHeldBytes(settings), this.#clock);
+    this.#downloads = new DownloadGate({
+      clock: this.#clock,
+      linkMegabitsPerSecond: settings.machine.linkMegabitsPerSecond,
+      heldBytes: this.#heldBytes,
+      onRefused: (cause) => this.#metrics.recordDownloadRefusal(cause),
+    });
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#recordExchange = this.#createRecordExchange();
@@ -374,6 +383,7 @@
         isDispatcher: () => this.#fleet.isDispatcher,
         isCutOff: () => this.#linkMonitor.isCutOff,
         listTraffic: () => this.#traffic.list(),
+        describeDownloads: () => this.#downloads.describe(),
       },
       (error) => this.#log.warn('metrics-fault', { reason: error.message }),
     );
@@ -405,8 +415,11 @@
         const { routes } = this.#services;
         return routes && checkKeyAgain(caller, routes, UNBOUNDED_KEY_VALIDITY);
       },
-      onBytes: (purpose, dataCentre, bytes) =>
-        this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
+      getDownloads: () => (this.#downloads.isActive ? this.#downloads : undefined),
+      onBytes: (purpose, dataCentre, bytes) => {
+        if (purpose === 'requests') this.#downloads.recordWritten(bytes);
+        this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes);
+      },
     });
   }
 
@@ -502,6 +515,7 @@
       onRefused: (error, requestId, target) =>
         this.#recorder.recordRefusal(error, requestId, target),
       onCut: (cut) => this.#recorder.recordCut(cut),
+      onSlowReader: (slow) => this.#recorder.recordSlowReader(slow),
       onException: (error) => this.recordException('caller', error),
     });
   }
@@ -509,6 +523,7 @@
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     this.#advertisedLoad.recordArrival();
     return this.#services.serve(request, (end) => {
+      if (end.kind === 'answered') this.#downloads.recordWritten(end.answer.bodyBytes);
       this.#recorder.recordEnd(request, end);
       onEnd(end);
     });
@@ -559,6 +574,7 @@
     if (!routes) return;
     const { version, limits } = routes.configuration;
     this.#callerServer.applyLimits(limits);
+    this.#downloads.applyConfiguration(routes.configuration);
     this.#log.info('configuration', { version, routes: routes.configuration.routes.length });
   }
 
--- a/packages/gateway/src/held-bytes/held-answer.ts
+++ b/packages/gateway/src/held-bytes/held-answer.ts
@@ -5,7 +5,10 @@
 
 export type HeldAnswerPorts = {
   readonly upstreamId: string;
-  readonly onGrow: (bytes: number) => void;
+  /** Bytes that are reserved for the answer before it comes. */
+  readonly reservedBytes: number;
+  /** Called with the bytes that have come, and those of them that were not reserved. */
+  readonly onGrow: (bytes: number, unreservedBytes: number) => void;
   readonly onClose: (answer: HeldAnswer) => void;
   readonly onEvicted: () => void;
 };
@@ -26,15 +29,22 @@
     return this.#ports.upstreamId;
   }
 
+  /** Bytes that have come. */
   get bytes(): number {
     return this.#bytes;
   }
 
+  /** Bytes that have come or are reserved for those to come. */
+  get heldBytes(): number {
+    return Math.max(this.#bytes, this.#ports.reservedBytes);
+  }
+
   /** Adds bytes; this answer or others may be evicted for them. */
   add(bytes: number): void {
     if (!this.#isOpen) return;
+    const heldBefore = this.heldBytes;
     this.#bytes += bytes;
-    this.#ports.onGrow(bytes);
+    this.#ports.onGrow(bytes, this.heldBytes - heldBefore);
   }
 
   /** Gives the bytes back. */
--- a/packages/gateway/src/held-bytes/held-bytes.test.ts
+++ b/packages/gateway/src/held-bytes/held-bytes.test.ts
@@ -81,6 +81,65 @@
   });
 });
 
+describe('the answers of downloads', () => {
+  let now = 0;
+  let held: HeldBytes;
+  let evicted: readonly string[] = [];
+
+  beforeEach(() => {
+    now = 0;
+    evicted = [];
+    held = new HeldBytes(MAX_BYTES, { now: () => now });
+    held.setMayEvictUnread(true);
+  });
+
+  function addUnread(name: string, bytes: number, unread = bytes): void {
+    held.addUnread(bytes, {
+      countUnread: () => unread,
+      onEvicted: () => {
+        evicted = [...evicted, name];
+      },
+    });
+  }
+
+  // Answers that were sent for one after the other came in at the same time, and had no room together.
+  it('have their bytes reserved before they come, and leave room to other requests', () => {
+    const answers = [200, 200, 200].flatMap((bytes) =>
+      held.computeMissing(bytes) > 0 ? [] : [held.createAnswer('u', () => undefined, bytes)],
+    );
+    expect([answers.length, held.total, held.computeMissing(200)]).to.deep.equal([3, 600, 50]);
+    expect(held.acquire(400)).to.equal(true);
+    answers[0]?.add(150);
+    expect(held.total).to.equal(1000);
+    answers.forEach((answer) => answer.close());
+    expect(held.total).to.equal(400);
+  });
+
+  it('are closed where memory is short and callers do not read, the largest and oldest first', () => {
+    addUnread('small', 100);
+    addUnread('large', 300);
+    addUnread('nearly read', 300, 10);
+    now += 1500;
+    addUnread('late', 250);
+    now += 600;
+    expect(held.acquire(50)).to.equal(true);
+    expect([evicted, held.mayAcquire(300)]).to.deep.equal([[], true]);
+    expect(held.acquire(300)).to.equal(true);
+    expect([evicted, held.total]).to.deep.equal([['large'], 1000]);
+    expect(held.acquire(120)).to.equal(true);
+    expect(evicted).to.deep.equal(['large', 'small', 'nearly read']);
+    expect(held.acquire(500)).to.equal(false);
+    expect(evicted).to.deep.equal(['large', 'small', 'nearly read']);
+  });
+
+  it('are not closed where the configuration has no downloads', () => {
+    held.setMayEvictUnread(false);
+    addUnread('large', 900);
+    now += 60_000;
+    expect([held.mayAcquire(200), held.acquire(200), evicted]).to.deep.equal([false, false, []]);
+  });
+});
+
 describe('the bytes of a body', () => {
   it('come back in order, and take at most twice their number however small the pieces are', () => {
     const random = createRandom(3);
--- a/packages/gateway/src/held-bytes/held-bytes.ts
+++ b/packages/gateway/src/held-bytes/held-bytes.ts
@@ -7,12 +7,20 @@
  * answers are short or end soon. Once the sum is reached, unfinished answers are cut: the largest one
  * of the upstream that holds most. An upstream at fault fails on all its connections, so that it is
  * found before a sound one that sends a single large answer.
+ *
+ * Where the configuration has downloads, room is reserved for their answers before they are sent, and
+ * answers that callers do not read are evicted before anything else.
  */
+import type { Clock } from '@baobabline/core';
 
 import { HeldAnswer } from './held-answer.js';
+import { UnreadAnswers } from './unread-answers.js';
+import type { UnreadAnswer, UnreadPorts } from './unread-answers.js';
 
 /** Unfinished answers are cut for requests only while they take more than this share of the sum. */
 const MAX_ANSWER_SHARE = 0.5;
+/** Answers of downloads leave this share of the sum to other requests. */
+const OTHERS_SHARE = 0.25;
 
 export class HeldBytes {
   readonly #maxBytes: number;
@@ -23,17 +31,39 @@
 
   readonly #unfinished = new Set<HeldAnswer>();
 
-  constructor(maxBytes: number) {
+  readonly #unread: UnreadAnswers;
+
+  #mayEvictUnread = false;
+
+  constructor(maxBytes: number, clock: Clock = { now: () => 0 }) {
     this.#maxBytes = maxBytes;
+    this.#unread = new UnreadAnswers(clock);
+  }
+
+  get maxBytes(): number {
+    return this.#maxBytes;
   }
 
   get total(): number {
     return this.#total;
   }
 
+  /** Sets whether connections of callers that do not read are closed where memory is short. */
+  setMayEvictUnread(mayEvict: boolean): void {
+    this.#mayEvictUnread = mayEvict;
+  }
+
   /** Whether bytes for the body of a request could be reserved now. */
   mayAcquire(bytes: number): boolean {
-    return this.#hasRoom(bytes) || this.#isTakenByAnswers;
+    return this.#hasRoom(bytes - this.#sumEvictableUnread()) || this.#isTakenByAnswers;
+  }
+
+  /** Makes room for the answer of a download; returns how many bytes are missing for it. */
+  computeMissing(bytes: number): number {
+    const missing = (): number =>
+      Math.max(0, this.#total + bytes - this.#maxBytes * (1 - OTHERS_SHARE));
+    this.#evictUnreadWhile(() => missing() > 0);
+    return missing();
   }
 
   /**
@@ -41,6 +71,7 @@
    * evicted for it only while they take up most.
    */
   acquire(bytes: number): boolean {
+    this.#evictUnreadWhile(() => !this.#hasRoom(bytes));
     this.#evictWhile(() => !this.#hasRoom(bytes) && this.#isTakenByAnswers);
     if (!this.#hasRoom(bytes)) return false;
     this.#total += bytes;
@@ -50,30 +81,42 @@
   /** Adds bytes that are held in any case, such as those of a whole answer. */
   add(bytes: number): void {
     this.#total += bytes;
+    this.#evictUnreadWhile(() => !this.#hasRoom(0));
     this.#evictWhile(() => !this.#hasRoom(0));
   }
 
+  /** Adds the bytes of a whole answer until its caller has taken it. */
+  addUnread(bytes: number, ports: UnreadPorts): UnreadAnswer {
+    this.add(bytes);
+    return this.#unread.add(bytes, ports, (closed) => this.release(closed));
+  }
+
   /** Gives back bytes that were reserved or added. */
   release(bytes: number): void {
     this.#total -= bytes;
   }
 
-  /** Accounts for an answer that comes in; `onEvicted` is called if it has to make room. */
-  createAnswer(upstreamId: string, onEvicted: () => void): HeldAnswer {
+  /**
+   * Accounts for an answer that comes in, and for those of its bytes that are reserved from now on;
+   * `onEvicted` is called if it has to make room.
+   */
+  createAnswer(upstreamId: string, onEvicted: () => void, reservedBytes = 0): HeldAnswer {
     const answer = new HeldAnswer({
       upstreamId,
+      reservedBytes,
       onEvicted,
-      onGrow: (bytes) => {
+      onGrow: (bytes, unreservedBytes) => {
         this.#unfinishedBytes += bytes;
-        this.add(bytes);
+        this.add(unreservedBytes);
       },
       onClose: (closed) => {
         this.#unfinished.delete(closed);
         this.#unfinishedBytes -= closed.bytes;
-        this.release(closed.bytes);
+        this.release(closed.heldBytes);
       },
     });
     this.#unfinished.add(answer);
+    if (reservedBytes > 0) this.add(reservedBytes);
     return answer;
   }
 
@@ -85,6 +128,18 @@
     return this.#total + bytes <= this.#maxBytes;
   }
 
+  #sumEvictableUnread(): number {
+    return this.#mayEvictUnread ? this.#unread.sumEvictable() : 0;
+  }
+
+  #evictUnreadWhile(isNeeded: () => boolean): void {
+    const worst = this.#mayEvictUnread && isNeeded() ? this.#unread.takeWorst() : undefined;
+    if (!worst) return;
+    this.release(worst.bytes);
+    worst.evict();
+    this.#evictUnreadWhile(isNeeded);
+  }
+
   #evictWhile(isNeeded: () => boolean): void {
     const answer = isNeeded() ? this.#findLargest() : undefined;
     if (!answer) return;
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -93,6 +93,16 @@
     this.#record(({ cutRequests }) => cutRequests.inc({ phase }));
   }
 
+  /** Records a download that was not sent since its answer could not be delivered or held. */
+  recordDownloadRefusal(cause: 'link' | 'memory'): void {
+    this.#record(({ downloadRefusals }) => downloadRefusals.inc({ cause }));
+  }
+
+  /** Records a caller whose connection was closed since it did not read its answer. */
+  recordSlowReader(): void {
+    this.#record(({ slowReaders }) => slowReaders.inc());
+  }
+
   /** Records that a record was refused or replaced because of the era in which it was read. */
   recordConflict(outcome: 'refused' | 'replaced'): void {
     this.#record(({ recordConflicts }) => recordConflicts.inc({ outcome }));
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -4,6 +4,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 import { EXCEPTION_ORIGINS } from '../exceptions/index.js';
+import type { DownloadState } from '../downloads/index.js';
 import type { TrafficRow } from '../fleet/index.js';
 import { END_VERDICTS } from '../upstream-ends/index.js';
 
@@ -40,6 +41,7 @@
   /** Whether this daemon reaches hardly any upstream. */
   readonly isCutOff: () => boolean;
   readonly listTraffic: () => readonly TrafficRow[];
+  readonly describeDownloads: () => DownloadState;
 };
 
 const CONDITIONS: readonly UpstreamCondition[] = ['trusted', 'suspect', 'unreachable', 'leaving'];
@@ -84,6 +86,18 @@
     ['phase'],
   );
 
+  readonly downloadRefusals = this.#createCounter(
+    'baobabline_download_refusals_total',
+    'Downloads that were not sent since the link could not deliver, or the memory not hold, the answer',
+    ['cause'],
+  );
+
+  readonly slowReaders = this.#createCounter(
+    'baobabline_slow_readers_closed_total',
+    'Connections of callers that were closed since they did not read while memory was short',
+    [],
+  );
+
   readonly recordConflicts = this.#createCounter(
     'baobabline_record_conflicts_total',
     'Records refused as older than the known one of their key, or replaced in spite of a higher revision',
@@ -151,6 +165,7 @@
       '1 while this daemon reaches hardly any upstream',
       () => Number(source.isCutOff()),
     );
+    this.#registerDownloads(source);
     this.#registerProcess();
     EXCEPTION_ORIGINS.forEach((origin) => this.exceptions.inc({ origin }, 0));
   }
@@ -242,6 +257,24 @@
     });
   }
 
+  #registerDownloads({ describeDownloads }: MetricsSource): void {
+    this.#registerGauge(
+      'baobabline_held_bytes',
+      'Bytes of requests and answers that are held or reserved',
+      () => describeDownloads().heldBytes,
+    );
+    this.#registerGauge(
+      'baobabline_held_bytes_limit',
+      'Most bytes that may be held',
+      () => describeDownloads().maxHeldBytes,
+    );
+    this.#registerGauge(
+      'baobabline_link_bytes',
+      'Bytes that the link has to pass on, those of expected answers included',
+      () => describeDownloads().linkBytes,
+    );
+  }
+
   #registerProcess(): void {
     this.#registerGauge('baobabline_resident_memory_bytes', 'Resident memory of the process', () =>
       process.memoryUsage.rss(),
--- a/packages/gateway/src/request-recording/request-recorder.ts
+++ b/packages/gateway/src/request-recording/request-recorder.ts
@@ -5,7 +5,7 @@
 import type { Clock, RequestError } from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
 
-import type { CutRequest } from '../edge/index.js';
+import type { CutRequest, SlowReader } from '../edge/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import type { RequestEnd, RequestStep, RoutedRequest } from '../requests/index.js';
 
@@ -23,6 +23,7 @@
   'invalid',
   'caller-gone',
   'hopeless',
+  'undeliverable',
   'quarantined',
 ];
 const SERVER_ERROR_STATUS = 500;
@@ -63,6 +64,13 @@
     log.warn('request-cut', { request: id, phase, ageMs });
   }
 
+  /** Records a caller whose connection was closed since it did not read its answer. */
+  recordSlowReader({ id, bytes, ageMs }: SlowReader): void {
+    const { log, metrics } = this.#dependencies;
+    metrics.recordSlowReader();
+    log.warn('slow-reader-closed', { request: id, unreadBytes: bytes, ageMs: Math.round(ageMs) });
+  }
+
   /** Records a refusal or failure of the daemon itself. */
   recordRefusal({ result, message }: RequestError, request: string, target: string): void {
     const { log, metrics } = this.#dependencies;
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -1,6 +1,7 @@
 export { AttemptTimes } from './attempt-times.js';
 export { LeavingStarts } from './leaving-starts.js';
 export { PeerLoads } from './peer-loads.js';
+export type { DownloadControl, DownloadRefusal } from './download-control.js';
 export type { CrashGuard, LostRequest } from './crash-guard.js';
 export { computeRequestFingerprint } from './request-fingerprint.js';
 export { listOnwardHeaders } from './request-head.js';
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -3,7 +3,13 @@
  * that is safe and the retry budget allows it. It ends by its deadline, with an answer or an error
  * that never says "not run" if an attempt may have run.
  */
-import { createRefusal, drawRetryAfterMs, isRepeatableKind, MAX_TIMER_MS } from '@baobabline/core';
+import {
+  createRefusal,
+  drawRetryAfterMs,
+  isLargeBody,
+  isRepeatableKind,
+  MAX_TIMER_MS,
+} from '@baobabline/core';
 import type {
   Clock,
   PlacementChoice,
@@ -17,6 +23,7 @@
 import type { AttemptTimes } from './attempt-times.js';
 import { buildRequestHead } from './request-head.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DownloadControl } from './download-control.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
@@ -30,6 +37,8 @@
   readonly onLoadChange: () => void;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
   readonly crashGuard: CrashGuard;
+  /** Undefined where the configuration has no downloads. */
+  readonly downloads?: DownloadControl | undefined;
   /** Returns why a request may no longer be sent; its key may have been removed while it waited. */
   readonly checkCaller: (request: RoutedRequest) => RequestError | undefined;
   /** Called with the size of a request or an answer in bytes, and the upstream's data centre. */
@@ -41,6 +50,8 @@
   readonly state: UpstreamState;
   readonly startedAt: number;
   readonly isHedge: boolean;
+  /** Ends what is reserved for the answer. */
+  readonly endReservation: (() => void) | undefined;
   connection: UpstreamConnection | undefined;
   overdueTimer: NodeJS.Timeout | undefined;
 };
@@ -149,6 +160,10 @@
     return this.#request.endAt - this.#now;
   }
 
+  get #usualMs(): number {
+    return this.#dependencies.times.getMeanMs(this.#request.route.id);
+  }
+
   get #canTryAgain(): boolean {
     return this.#tried.size + 1 < this.#request.route.maxAttempts;
   }
@@ -167,6 +182,7 @@
       this.#refuseQuarantined(verdict.retryAfterMs);
       return true;
     }
+    if (this.#refuseUndeliverable()) return true;
     const choice = this.#scheduler.choose({
       isRepeatable: this.#isRepeatable,
       canTryAgain: this.#canTryAgain,
@@ -180,6 +196,16 @@
     return true;
   }
 
+  /** Refuses a download whose answer could not be held or delivered; returns whether it did. */
+  #refuseUndeliverable(): boolean {
+    const { downloads } = this.#dependencies;
+    const refusal = downloads?.checkDelivery(this.#request, this.#usualMs);
+    if (!refusal) return false;
+    this.#record(refusal.step);
+    this.#failWith(refusal.error);
+    return true;
+  }
+
   #waitOrRefuse(): void {
     if (!this.#scheduler.hasUsable(this.#tried)) {
       this.#refuse('noUpstream');
@@ -194,6 +220,7 @@
     this.#ticket = this.#scheduler.wait({
       ...waiting,
       isRepeatable: this.#isRepeatable,
+      hasLargeBody: isLargeBody(this.#request.bodyBytes),
       tryPlace: () => this.#tryPlace(),
       onExpired: () => this.#refuse('noCapacity'),
       onHopeless: (retryAfterMs) => this.#refuseHopeless(waiting, retryAfterMs),
@@ -236,12 +263,14 @@
     this.#ticket = undefined;
     this.#tried.add(upstreamId);
     this.#sentCount += 1;
-    this.#scheduler.recordStart(state);
+    this.#scheduler.recordStart(state, this.#request.bodyBytes);
+    const reservation = this.#dependencies.downloads?.expectAnswer(this.#request);
     this.#dependencies.onLoadChange();
     const attempt: Attempt = {
       upstreamId,
       state,
       isHedge,
+      endReservation: reservation?.end,
       startedAt: this.#now,
       connection: undefined,
       overdueTimer: this.#startOverdueTimer(upstreamId),
@@ -264,6 +293,7 @@
         method: this.#request.method,
         head,
         body: this.#request.body,
+        expectedBytes: reservation?.bytes ?? 0,
       },
       this.#isRepeatable,
       (end) => this.#handleEnd(attempt, end),
@@ -305,6 +335,7 @@
     // A second attempt could end a second upstream before the first attempt shows that it does.
     if (this.#dependencies.crashGuard.isSuspect(this.#request.fingerprint)) return;
     if (this.#dependencies.checkCaller(this.#request)) return;
+    if (this.#dependencies.downloads?.canDeliver(this.#request, this.#usualMs) === false) return;
     const choice = this.#scheduler.choose({
       isRepeatable: true,
       canTryAgain: false,
@@ -327,7 +358,8 @@
   #release(attempt: Attempt): void {
     clearTimeout(attempt.overdueTimer);
     this.#attempts = this.#attempts.filter((other) => other !== attempt);
-    attempt.state.recordEnd();
+    attempt.endReservation?.();
+    attempt.state.recordEnd(this.#request.bodyBytes);
     this.#dependencies.onLoadChange();
   }
 
@@ -353,6 +385,7 @@
     this.#scheduler.recordAnswer(upstreamId, isGood, isGood ? startedAt : this.#now);
     if (isGood) {
       this.#dependencies.times.record(this.#request.route.id, elapsedMs);
+      this.#dependencies.downloads?.recordAnswer(this.#request, answer.bodyBytes);
       this.#scheduler.recordAttemptTime(elapsedMs);
       this.#succeed(answer, upstreamId);
       return;
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -7,6 +7,7 @@
   chooseNearFirst,
   computeMaxFailureProbability,
   checkAdmission,
+  mayHoldBody,
   RequestQueue,
   SlidingWindowRetryBudget,
 } from '@baobabline/core';
@@ -48,6 +49,8 @@
   readonly onAnswer: (judged: JudgedAnswer) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
+  /** Whether large bodies at one upstream are bounded over the fleet. */
+  readonly boundsBodies?: () => boolean;
   /** Whether this daemon has lost its links to most upstreams. */
   readonly isCutOff: () => boolean;
   /** Called when a connection to an upstream could not be opened or used, or brought no answer. */
@@ -68,6 +71,8 @@
 export type QueuedPlacement = QueuedRequest & {
   /** Whether it may run more than once. */
   readonly isRepeatable: boolean;
+  /** Whether it may find no upstream although others do; it holds nothing up behind it. */
+  readonly hasLargeBody?: boolean;
   /** Tries to place the request; returns whether it can leave the queue. */
   readonly tryPlace: () => boolean;
   readonly onExpired: () => void;
@@ -238,8 +243,8 @@
   }
 
   /** Records that a request is sent to an upstream, which uses up a permit of its rate limit. */
-  recordStart(state: UpstreamState): void {
-    state.recordStart();
+  recordStart(state: UpstreamState, bodyBytes = 0): void {
+    state.recordStart(bodyBytes);
     const { rateLimit, record } = state;
     if (!rateLimit.isLimited) return;
     const { clock, getRateLimitShare } = this.#dependencies;
@@ -288,7 +293,7 @@
     this.#queue.list(this.#dependencies.clock.now()).every((waiter) => {
       if (blocked.has(waiter.isRepeatable)) return true;
       if (waiter.tryPlace()) this.#queue.remove(waiter.id);
-      else if (!waiter.isRetry) blocked.add(waiter.isRepeatable);
+      else if (!waiter.isRetry && !waiter.hasLargeBody) blocked.add(waiter.isRepeatable);
       return blocked.size < 2;
     });
   }
@@ -468,9 +473,20 @@
     return rateLimit.mayStart(this.#dependencies.getRateLimitShare(record.id), now);
   }
 
+  #mayHoldBody(state: UpstreamState, bodyBytes: number): boolean {
+    if (!this.#dependencies.boundsBodies?.()) return true;
+    const { record, largeBytes } = state;
+    const peersInFlight = this.countInFlightElsewhere(state);
+    return mayHoldBody(bodyBytes, {
+      slots: record.slots,
+      ownLargeBytes: largeBytes,
+      peersInFlight,
+    });
+  }
+
   /** Upstreams that may receive the request now: those of this data centre, or all. */
   #listCandidates(
-    { excluded }: PlacementNeeds,
+    { excluded, bodyBytes }: PlacementNeeds,
     now: number,
     isNearOnly: boolean,
   ): readonly PlacementCandidate[] {
@@ -481,6 +497,7 @@
         !state.isLeaving &&
         !excluded.has(state.record.id) &&
         !state.isPaused(now) &&
+        this.#mayHoldBody(state, bodyBytes) &&
         this.#hasPermit(state, now),
     );
     const reached = open.filter(({ record }) => !links.isSuspect(record.id, now));
--- a/packages/gateway/src/requests/upstream-state.ts
+++ b/packages/gateway/src/requests/upstream-state.ts
@@ -2,7 +2,7 @@
  * A dispatcher's state of one usable upstream: its record, its connection pool and the number of
  * requests in flight.
  */
-import { hashText, UpstreamRateLimit } from '@baobabline/core';
+import { hashText, isLargeBody, UpstreamRateLimit } from '@baobabline/core';
 import type { RegisteredUpstream } from '@baobabline/core';
 
 import { computeUpstreamHash } from '../reports/index.js';
@@ -29,6 +29,8 @@
 
   #inFlight = 0;
 
+  #largeBytes = 0;
+
   #pausedUntil = 0;
 
   #isLeaving = false;
@@ -46,12 +48,19 @@
     return this.#inFlight;
   }
 
-  recordStart(): void {
+  /** Bytes of this dispatcher's large bodies of requests in flight at the upstream. */
+  get largeBytes(): number {
+    return this.#largeBytes;
+  }
+
+  recordStart(bodyBytes = 0): void {
     this.#inFlight += 1;
+    if (isLargeBody(bodyBytes)) this.#largeBytes += bodyBytes;
   }
 
-  recordEnd(): void {
+  recordEnd(bodyBytes = 0): void {
     this.#inFlight -= 1;
+    if (isLargeBody(bodyBytes)) this.#largeBytes -= bodyBytes;
   }
 
   get record(): RegisteredUpstream {
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -34,6 +34,7 @@
 } from '../requests/index.js';
 import type {
   CrashGuard,
+  DownloadControl,
   JudgedAnswer,
   RequestEnd,
   RequestStep,
@@ -75,6 +76,8 @@
   readonly onUpstreamFailure: (upstreamId: string) => void;
   /** What keeps requests from upstreams that they would end. */
   readonly getCrashGuard: () => CrashGuard;
+  /** What decides on downloads; undefined where the configuration has none. */
+  readonly getDownloads?: () => DownloadControl | undefined;
   /** Called once for each start of an upstream that states in an answer that it leaves. */
   readonly onLeaving: (upstreamId: string) => void;
   readonly onLoadChange: () => void;
@@ -176,7 +179,12 @@
     const run = new RequestRun(
       request,
       desk,
-      { ...this.#ports, times: this.#times, crashGuard: this.#ports.getCrashGuard() },
+      {
+        ...this.#ports,
+        times: this.#times,
+        crashGuard: this.#ports.getCrashGuard(),
+        downloads: this.#ports.getDownloads?.(),
+      },
       onEnd,
     );
     run.start();
@@ -265,6 +273,7 @@
       },
       createUpstream: (record) => this.#createUpstream(record),
       onAnswer: (judged) => this.#handleAnswer(judged),
+      boundsBodies: () => this.#ports.getDownloads?.() !== undefined,
       isCutOff: this.#ports.isCutOff,
       onFailure: this.#ports.onUpstreamFailure,
       onTrustChange: this.#ports.onTrustChange,
--- a/packages/gateway/src/upstreams/types.ts
+++ b/packages/gateway/src/upstreams/types.ts
@@ -9,6 +9,8 @@
   /** Request line and headers, terminated by an empty line. */
   readonly head: string;
   readonly body: readonly Buffer[];
+  /** Bytes to reserve for the answer; none if absent. */
+  readonly expectedBytes?: number;
 };
 
 export type UpstreamAnswer = {
--- a/packages/gateway/src/upstreams/upstream-connection.ts
+++ b/packages/gateway/src/upstreams/upstream-connection.ts
@@ -175,8 +175,10 @@
   /** Sends a request as soon as the connection is established. */
   send(request: ExchangeRequest, onEnd: EndHandler): void {
     const { heldBytes, upstreamId } = this.#dependencies;
-    const held = heldBytes.createAnswer(upstreamId, () =>
-      this.#closeWith({ kind: 'invalid', reason: 'no room for more of the answer' }),
+    const held = heldBytes.createAnswer(
+      upstreamId,
+      () => this.#closeWith({ kind: 'invalid', reason: 'no room for more of the answer' }),
+      request.expectedBytes,
     );
     this.#exchange = { request, onEnd, held };
     this.#isRequestWritten = false;
