--- a/packages/gateway/src/held-bytes/held-bytes.ts
+++ b/packages/gateway/src/held-bytes/held-bytes.ts
@@ -55,7 +55,8 @@
 
   /** Whether bytes for the body of a request could be reserved now. */
   mayAcquire(bytes: number): boolean {
-    return this.#hasRoom(bytes - this.#sumEvictableUnread()) || this.#isTakenByAnswers;
+    if (this.#hasRoom(bytes) || this.#isTakenByAnswers) return true;
+    return this.#hasRoom(bytes - this.#sumEvictableUnread());
   }
 
   /** Makes room for the answer of a download; returns how many bytes are missing for it. */
