--- a/packages/core/src/dispatchers/fleet-roles.test.ts
+++ b/packages/core/src/dispatchers/fleet-roles.test.ts
@@ -110,6 +110,29 @@
     expect(roles.listDispatchers('a').length).to.equal(1);
   });
 
+  // The hold of an earlier peak ended right after the loss, and with it the demand that was lost.
+  it('holds the demand for its whole time from the loss, however old an earlier peak is', () => {
+    const roles = createRoles('a-10');
+    const setLoad = (load: number): void => {
+      candidates = members.map((member) => (member.capacity > 60 ? { ...member, load } : member));
+      revision += 1;
+    };
+    setLoad(200);
+    expect(roles.listDispatchers('a')).to.have.length(3);
+    setLoad(150);
+    now += 4800;
+    expect(roles.listDispatchers('a')).to.have.length(3);
+    candidates = members.filter(({ capacity }) => capacity === 60);
+    revision += 1;
+    const sumCapacity = (): number =>
+      roles.listDispatchers('a').reduce((sum, { capacity }) => sum + capacity, 0);
+    expect(sumCapacity()).to.be.greaterThan(450);
+    now += 1000;
+    expect(sumCapacity()).to.be.greaterThan(450);
+    now += 10_000;
+    expect(roles.listDispatchers('a')).to.have.length(1);
+  });
+
   it('uses several dispatchers after a restart of the fleet, while the demand is unknown', () => {
     const roles = createStartingRoles('a-10');
     expect(roles.listDispatchers('a').map(({ id }) => id)).to.deep.equal(['a-00', 'a-01', 'a-02']);
--- a/packages/core/src/dispatchers/fleet-roles.ts
+++ b/packages/core/src/dispatchers/fleet-roles.ts
@@ -7,7 +7,10 @@
  * - Hundreds of daemons look up the roles many times per second while members rarely change. The
  *   roles are computed once per revision of the membership.
  * - The VMs of highest capacity fail at peak load, and their advertised load is lost with them. The
- *   demand is held for some seconds, so that enough VMs of lower capacity take over at once.
+ *   demand is held for some seconds, counted from the loss, so that enough VMs of lower capacity take
+ *   over at once.
+ * - Demand rises and falls in waves, and callers follow a choice seconds after it. The demand is
+ *   foreseen for that time (`DemandTrend`).
  * - Daemons lose their links to the upstreams, one or all of a data centre. They are no dispatchers
  *   as long as any other daemon still reaches them.
  * - All VMs lose power together. No daemon knows the demand, all callers reconnect at once and
@@ -18,6 +21,7 @@
 import type { Clock } from '../runtime/index.js';
 import { CUT_OFF_CAPACITY } from './capacity.js';
 import { chooseDispatchers, rankDispatchers } from './choose-dispatchers.js';
+import { DemandTrend } from './demand-trend.js';
 
 /** Daemons of each data centre that exchange members with other data centres. */
 const BRIDGES_PER_DATA_CENTRE = 2;
@@ -38,6 +42,11 @@
 };
 
 type Demand = {
+  readonly trend: DemandTrend;
+  /** Advertised loads by daemon. */
+  readonly loads: ReadonlyMap<string, number>;
+  /** Demand when daemons that carried load were lost, which counts for a while. */
+  readonly floor: { readonly rate: number; readonly until: number };
   /** Requests per second. */
   readonly rate: number;
   readonly expiresAt: number;
@@ -49,6 +58,12 @@
   readonly demand: Demand;
 };
 
+const NO_FLOOR = { rate: 0, until: Number.NEGATIVE_INFINITY };
+
+function sumLoads(loads: ReadonlyMap<string, number>): number {
+  return [...loads.values()].reduce((sum, load) => sum + load, 0);
+}
+
 function isServing({ state }: Member): boolean {
   return state === 'serving';
 }
@@ -195,9 +210,21 @@
 
   #computeDemand(serving: readonly Member[], previous: Demand | undefined): Demand {
     const now = this.#ports.clock.now();
-    const rate = serving.reduce((sum, { load }) => sum + load, 0);
+    const loads = new Map(serving.map(({ id, load }) => [id, load]));
+    const sum = sumLoads(loads);
+    const lost = [...(previous?.loads ?? [])].filter(([id, load]) => load > 0 && !loads.has(id));
+    const knownSum = sumLoads(previous?.loads ?? new Map());
+    const known = previous && now < previous.floor.until ? previous.floor : NO_FLOOR;
+    // What was lost is missing from the sum until those that take over have advertised their load.
+    const floor =
+      lost.length > 0
+        ? { rate: Math.max(knownSum, known.rate), until: now + DEMAND_HOLD_MS }
+        : known;
+    const trend = previous?.trend ?? new DemandTrend();
+    const rate = trend.record(now, Math.max(sum, floor.rate));
     const isHeld = previous !== undefined && previous.rate > rate && now < previous.expiresAt;
-    if (isHeld) return previous;
-    return { rate, expiresAt: rate === 0 ? Number.POSITIVE_INFINITY : now + DEMAND_HOLD_MS };
+    if (isHeld) return { ...previous, loads, floor };
+    const expiresAt = rate === 0 ? Number.POSITIVE_INFINITY : now + DEMAND_HOLD_MS;
+    return { trend, loads, floor, rate, expiresAt };
   }
 }
