Count requests by the bytes that they move in the advertised load

Cause: capacity assumes 10,000 bytes per request; with downloads of 90 KB the link of a small VM is full while its advertised load is far below its capacity, so that no dispatcher is added. Change: where the configuration has downloads, the mean bytes of a request and its answer are learned (a five-hundredth by request), and the load counts a request for as many usual ones as it takes of the link. The capacity stays, since daemons without traffic could not learn it and would rank first.

--- a/packages/core/src/dispatchers/advertised-load.ts
+++ b/packages/core/src/dispatchers/advertised-load.ts
@@ -34,10 +34,13 @@
     this.#arrivals.recordArrival();
   }
 
-  /** Updates the advertised load and returns it, in requests per second. */
-  refresh(): number {
+  /**
+   * Updates the advertised load and returns it, in usual requests per second; `requestWeight` is how many
+   * of these a request counts for.
+   */
+  refresh(requestWeight = 1): number {
     const now = this.#clock.now();
-    const rate = this.#arrivals.getPerMs() * MS_PER_SECOND;
+    const rate = this.#arrivals.getPerMs() * MS_PER_SECOND * requestWeight;
     const load = Math.floor(rate / this.#stepSize) * this.#stepSize;
     if (load >= this.#load || now - this.#lastReachedAt > DECREASE_DELAY_MS) {
       if (load >= this.#load) this.#lastReachedAt = now;
--- a/packages/core/src/dispatchers/choose-dispatchers.test.ts
+++ b/packages/core/src/dispatchers/choose-dispatchers.test.ts
@@ -6,7 +6,9 @@
   chooseDispatchersForCaller,
   chooseDispatchersWithFallback,
   computeCapacity,
+  computeRequestWeight,
   AdvertisedLoad,
+  RequestBytes,
 } from './index.js';
 import type { DispatcherCandidate } from './index.js';
 
@@ -93,6 +95,37 @@
     expect(level.refresh()).to.equal(0);
   });
 
+  // VMs whose link was full advertised a load far below their capacity, and no dispatcher was added.
+  it('advertises more load where requests move more bytes, and never less', () => {
+    const small = { cores: 0.27, linkMegabitsPerSecond: 7 };
+    const large = { cores: 1.35, linkMegabitsPerSecond: 140 };
+    expect(computeRequestWeight(small, 10_000)).to.be.closeTo(1, 0.01);
+    expect(computeRequestWeight(small, 35_000)).to.be.closeTo(67.5 / 25, 0.01);
+    expect([computeRequestWeight(large, 35_000), computeRequestWeight(small, 0)]).to.deep.equal([
+      1, 1,
+    ]);
+    let now = 0;
+    const [light, heavy] = [1, 2].map((weight) => {
+      const level = new AdvertisedLoad(400, { now: () => now });
+      Array.from({ length: 500 }).forEach(() => {
+        now += 10;
+        level.recordArrival();
+      });
+      return level.refresh(weight);
+    });
+    expect([light, heavy]).to.deep.equal([50, 150]);
+  });
+
+  it('learns the bytes of a request slowly, so that one large answer changes little', () => {
+    const bytes = new RequestBytes();
+    bytes.record(540_000);
+    expect(bytes.mean).to.be.within(10_000, 12_000);
+    Array.from({ length: 3000 }, (_, index) => (index % 8 === 0 ? 90_000 : 2000)).forEach((one) =>
+      bytes.record(one),
+    );
+    expect(bytes.mean).to.be.closeTo(13_000, 700);
+  });
+
   it('limits the capacity by CPU or link, whichever is less', () => {
     const wide = { linkMegabitsPerSecond: 1000 };
     expect(computeCapacity({ cores: 0.4, ...wide })).to.be.closeTo(100, 1);
--- a/packages/core/src/dispatchers/index.ts
+++ b/packages/core/src/dispatchers/index.ts
@@ -1,4 +1,4 @@
-export { computeCapacity, CUT_OFF_CAPACITY } from './capacity.js';
+export { computeCapacity, computeRequestWeight, CUT_OFF_CAPACITY } from './capacity.js';
 export type { VmResources } from './capacity.js';
 export {
   chooseDispatchers,
@@ -9,4 +9,5 @@
 export type { DispatcherCandidate } from './choose-dispatchers.js';
 export { FleetRoles } from './fleet-roles.js';
 export type { FleetRolesPorts } from './fleet-roles.js';
+export { RequestBytes } from './request-bytes.js';
 export { AdvertisedLoad } from './advertised-load.js';
--- a/packages/gateway/src/downloads/download-gate.test.ts
+++ b/packages/gateway/src/downloads/download-gate.test.ts
@@ -52,7 +52,7 @@
     heldBytes = new HeldBytes(MAX_BYTES, clock);
     gate = new DownloadGate({
       clock,
-      linkMegabitsPerSecond: LINK_MEGABITS,
+      machine: { cores: 0.27, linkMegabitsPerSecond: LINK_MEGABITS },
       heldBytes,
       onRefused: (cause) => {
         refusals = [...refusals, cause];
@@ -121,7 +121,7 @@
 
   // The answer came after its caller had left, who sent the same request again.
   it('are refused as not run before they are sent, while other requests pass', () => {
-    gate.recordWritten(3_000_000);
+    gate.recordSent(3_000_000);
     [start('download'), start('download')].forEach((run) => run.cancel());
     start('safe').cancel();
     expect([sent.length, refusals]).to.deep.equal([1, ['link', 'link']]);
@@ -154,9 +154,18 @@
     expect(sent).to.have.length(1);
   });
 
+  it('count for more in the advertised load where the link is full first', () => {
+    const record = (): void =>
+      gate.recordAnswered(buildRoutedRequest('q', now, 'download'), 90_000);
+    Array.from({ length: 200 }).forEach(record);
+    expect(gate.computeRequestWeight()).to.be.greaterThan(2);
+    gate.applyConfiguration(buildConfiguration('safe'));
+    expect(gate.computeRequestWeight()).to.equal(1);
+  });
+
   it('are unknown where no route is one: nothing is reserved, counted or bounded', () => {
     gate.applyConfiguration(buildConfiguration('safe'));
-    gate.recordWritten(9_000_000);
+    gate.recordSent(9_000_000);
     expect([gate.isActive, gate.describe().linkBytes]).to.deep.equal([false, 0]);
     [1, 2, 3].forEach(() => start('unsafe', 3_000_000));
     expect(sent).to.have.length(3);
--- a/packages/gateway/src/downloads/download-gate.ts
+++ b/packages/gateway/src/downloads/download-gate.ts
@@ -2,15 +2,28 @@
  * Admits downloads: learns how large their answers are, reserves memory for those that are sent, and
  * refuses those whose answers could not be held or delivered. Inactive while no route is a download.
  */
-import { AnswerSizes, createRefusal, judgeDownload, LinkSchedule } from '@baobabline/core';
-import type { Clock, DownloadVerdict, Route, RoutingConfiguration } from '@baobabline/core';
+import {
+  AnswerSizes,
+  computeRequestWeight,
+  createRefusal,
+  judgeDownload,
+  LinkSchedule,
+  RequestBytes,
+} from '@baobabline/core';
+import type {
+  Clock,
+  DownloadVerdict,
+  Route,
+  RoutingConfiguration,
+  VmResources,
+} from '@baobabline/core';
 
 import type { HeldBytes } from '../held-bytes/index.js';
 import type { DownloadControl, DownloadRefusal, RoutedRequest } from '../requests/index.js';
 
 export type DownloadGatePorts = {
   readonly clock: Clock;
-  readonly linkMegabitsPerSecond: number;
+  readonly machine: VmResources;
   readonly heldBytes: HeldBytes;
   readonly onRefused: (cause: 'link' | 'memory') => void;
 };
@@ -21,6 +34,8 @@
   readonly maxHeldBytes: number;
   /** Bytes that the link still has to pass on, those of expected answers included. */
   readonly linkBytes: number;
+  /** Bytes that a request moves in each direction, as the advertised load counts them. */
+  readonly requestBytes: number;
 };
 
 const MS_PER_SECOND = 1000;
@@ -40,11 +55,13 @@
 
   readonly #link: LinkSchedule;
 
+  readonly #requestBytes = new RequestBytes();
+
   #isActive = false;
 
   constructor(ports: DownloadGatePorts) {
     this.#ports = ports;
-    this.#link = new LinkSchedule(ports.linkMegabitsPerSecond, ports.clock);
+    this.#link = new LinkSchedule(ports.machine.linkMegabitsPerSecond, ports.clock);
   }
 
   /** Whether the configuration in force has a download route. */
@@ -97,17 +114,31 @@
     if (isDownload(route)) this.#sizes.record(route.id, bytes);
   }
 
-  /** Records bytes of any request or answer that leave over the link. */
-  recordWritten(bytes: number): void {
+  /** Records the body of a request or its head as it is written to an upstream. */
+  recordSent(bytes: number): void {
     if (this.#isActive) this.#link.recordWritten(bytes);
   }
 
+  /** Records the body of an answer of any kind as it is written to a caller. */
+  recordAnswered({ bodyBytes }: RoutedRequest, answerBytes: number): void {
+    if (!this.#isActive) return;
+    this.#link.recordWritten(answerBytes);
+    this.#requestBytes.record(bodyBytes + answerBytes);
+  }
+
+  /** How many usual requests one counts for in the advertised load; 1 without downloads. */
+  computeRequestWeight(): number {
+    if (!this.#isActive) return 1;
+    return computeRequestWeight(this.#ports.machine, this.#requestBytes.mean);
+  }
+
   describe(): DownloadState {
     const { heldBytes } = this.#ports;
     return {
       heldBytes: heldBytes.total,
       maxHeldBytes: heldBytes.maxBytes,
       linkBytes: Math.round(this.#link.writtenBytes + this.#link.expectedBytes),
+      requestBytes: Math.round(this.#requestBytes.mean),
     };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -161,7 +161,7 @@
     this.#heldBytes = new HeldBytes(computeMaxHeldBytes(settings), this.#clock);
     this.#downloads = new DownloadGate({
       clock: this.#clock,
-      linkMegabitsPerSecond: settings.machine.linkMegabitsPerSecond,
+      machine: settings.machine,
       heldBytes: this.#heldBytes,
       onRefused: (cause) => this.#metrics.recordDownloadRefusal(cause),
     });
@@ -357,7 +357,7 @@
     this.#rateLimits.runTick();
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
-    this.#fleet.announceLoad(this.#advertisedLoad.refresh());
+    this.#fleet.announceLoad(this.#advertisedLoad.refresh(this.#downloads.computeRequestWeight()));
   }
 
   #logTraffic(): void {
@@ -417,7 +417,7 @@
       },
       getDownloads: () => (this.#downloads.isActive ? this.#downloads : undefined),
       onBytes: (purpose, dataCentre, bytes) => {
-        if (purpose === 'requests') this.#downloads.recordWritten(bytes);
+        if (purpose === 'requests') this.#downloads.recordSent(bytes);
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes);
       },
     });
@@ -523,7 +523,7 @@
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     this.#advertisedLoad.recordArrival();
     return this.#services.serve(request, (end) => {
-      if (end.kind === 'answered') this.#downloads.recordWritten(end.answer.bodyBytes);
+      if (end.kind === 'answered') this.#downloads.recordAnswered(request, end.answer.bodyBytes);
       this.#recorder.recordEnd(request, end);
       onEnd(end);
     });
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -273,6 +273,11 @@
       'Bytes that the link has to pass on, those of expected answers included',
       () => describeDownloads().linkBytes,
     );
+    this.#registerGauge(
+      'baobabline_request_bytes',
+      'Mean bytes of a request and its answer, by which the advertised load counts requests',
+      () => describeDownloads().requestBytes,
+    );
   }
 
   #registerProcess(): void {
