--- a/packages/cli/src/commands/log-story.ts
+++ b/packages/cli/src/commands/log-story.ts
@@ -68,6 +68,10 @@
     const limited = withoutPermit ? `, ${withoutPermit} upstreams at their rate limit` : '';
     return `no room in time: behind ${waiting}, ${Number(slots).toFixed(1)} slots to count on, ${Math.round(Number(meanAttemptMs))} ms an attempt${limited}`;
   },
+  undeliverable: ({ cause, deliveryMs, timeLeftMs }) =>
+    cause === 'memory'
+      ? 'not sent: no room to hold its answer'
+      : `not sent: its answer would be delivered after ${deliveryMs} ms, ${timeLeftMs} ms left`,
   'stop-reached': () => 'the daemon stops, and gives it up',
   'caller-gone': () => 'the caller left',
 };
--- a/packages/gateway/src/downloads/download-gate.ts
+++ b/packages/gateway/src/downloads/download-gate.ts
@@ -151,7 +151,7 @@
       writtenBytes: this.#link.writtenBytes,
       expectedBytes: this.#link.expectedBytes,
       timeLeftMs: endAt - this.#ports.clock.now(),
-      missingBytes: this.#ports.heldBytes.computeMissing(size.highBytes),
+      missingBytes: this.#ports.heldBytes.evictUnreadFor(size.highBytes),
     });
   }
 }
--- a/packages/gateway/src/held-bytes/held-bytes.ts
+++ b/packages/gateway/src/held-bytes/held-bytes.ts
@@ -60,7 +60,7 @@
   }
 
   /** Makes room for the answer of a download; returns how many bytes are missing for it. */
-  computeMissing(bytes: number): number {
+  evictUnreadFor(bytes: number): number {
     const missing = (): number =>
       Math.max(0, this.#total + bytes - this.#maxBytes * (1 - OTHERS_SHARE));
     this.#evictUnreadWhile(() => missing() > 0);
