Keep routes alive whose answers are expected to be too large

Cause: where the expected size of a route exceeded the memory or could not be delivered at all, every download was refused, and its size was never learned anew. Change: one is sent while nothing as large is ahead on the link; a reservation is at most half of the bound.

--- a/packages/core/src/downloads/downloads.test.ts
+++ b/packages/core/src/downloads/downloads.test.ts
@@ -59,6 +59,23 @@
   });
 });
 
+describe('a download that is expected to come late over an empty link', () => {
+  // Once the expected size of a route was too large, all its requests were refused for ever.
+  it('is sent while nothing as large is ahead of it', () => {
+    const judge = (writtenBytes: number): string =>
+      judgeDownload({
+        size: { meanBytes: 2_000_000, highBytes: 4_000_000 },
+        bytesPerMs: 800,
+        writtenBytes,
+        expectedBytes: 0,
+        attemptMs: 260,
+        timeLeftMs: 4278,
+        missingBytes: 0,
+      }).kind;
+    expect([judge(10_000), judge(2_000_000)]).to.deep.equal(['send', 'refuse']);
+  });
+});
+
 describe('the expected size of an answer', () => {
   // With the mean alone, several large answers that came in together exceeded the memory.
   it('is estimated by route, with an upper estimate that few answers exceed', () => {
--- a/packages/core/src/downloads/judge-download.ts
+++ b/packages/core/src/downloads/judge-download.ts
@@ -57,12 +57,14 @@
 }
 
 export function judgeDownload(state: DownloadState): DownloadVerdict {
-  const { missingBytes, bytesPerMs } = state;
+  const { missingBytes, bytesPerMs, size, writtenBytes, expectedBytes } = state;
   const timeLeftMs = state.timeLeftMs * USABLE_TIME_SHARE;
   const deliveryMs = computeDeliveryMs(state);
-  if (deliveryMs > timeLeftMs) {
+  // Sent although it may come late: without an answer now and then its size would never be learned anew.
+  const isLinkFree = writtenBytes + expectedBytes < size.meanBytes;
+  if (deliveryMs > timeLeftMs && !isLinkFree) {
     // Others come in the meantime: without the time of one answer more, half found no room again.
-    const answerMs = state.size.highBytes / bytesPerMs;
+    const answerMs = size.highBytes / bytesPerMs;
     const retryAfterMs = deliveryMs - timeLeftMs + answerMs;
     return { kind: 'refuse', cause: 'link', deliveryMs, retryAfterMs };
   }
--- a/packages/gateway/src/downloads/download-gate.ts
+++ b/packages/gateway/src/downloads/download-gate.ts
@@ -107,7 +107,8 @@
   expectAnswer({ route }: RoutedRequest): { readonly bytes: number; readonly end: () => void } {
     if (!isDownload(route)) return { bytes: 0, end: () => undefined };
     const { meanBytes, highBytes } = this.#sizes.getExpected(route.id);
-    return { bytes: highBytes, end: this.#link.expect(meanBytes) };
+    const bytes = this.#ports.heldBytes.computeReservation(highBytes);
+    return { bytes, end: this.#link.expect(meanBytes) };
   }
 
   recordAnswer({ route }: RoutedRequest, bytes: number): void {
@@ -143,6 +144,7 @@
   }
 
   #judge({ route, endAt }: RoutedRequest, attemptMs: number): DownloadVerdict {
+    const { heldBytes } = this.#ports;
     const size = this.#sizes.getExpected(route.id);
     return judgeDownload({
       size,
@@ -151,7 +153,7 @@
       writtenBytes: this.#link.writtenBytes,
       expectedBytes: this.#link.expectedBytes,
       timeLeftMs: endAt - this.#ports.clock.now(),
-      missingBytes: this.#ports.heldBytes.evictUnreadFor(size.highBytes),
+      missingBytes: heldBytes.evictUnreadFor(heldBytes.computeReservation(size.highBytes)),
     });
   }
 }
--- a/packages/gateway/src/held-bytes/held-bytes.test.ts
+++ b/packages/gateway/src/held-bytes/held-bytes.test.ts
@@ -109,6 +109,7 @@
     );
     expect([answers.length, held.total, held.evictUnreadFor(200)]).to.deep.equal([3, 600, 50]);
     expect(held.acquire(400)).to.equal(true);
+    expect(held.computeReservation(5000)).to.equal(500);
     answers[0]?.add(150);
     expect(held.total).to.equal(1000);
     answers.forEach((answer) => answer.close());
--- a/packages/gateway/src/held-bytes/held-bytes.ts
+++ b/packages/gateway/src/held-bytes/held-bytes.ts
@@ -21,6 +21,8 @@
 const MAX_ANSWER_SHARE = 0.5;
 /** Answers of downloads leave this share of the sum to other requests. */
 const OTHERS_SHARE = 0.25;
+/** Largest share for one answer, so that it finds room beside small requests whatever is expected. */
+const MAX_RESERVATION_SHARE = 0.5;
 
 export class HeldBytes {
   readonly #maxBytes: number;
@@ -59,7 +61,12 @@
     return this.#hasRoom(bytes - this.#sumEvictableUnread());
   }
 
-  /** Makes room for the answer of a download; returns how many bytes are missing for it. */
+  /** Returns how many bytes are reserved for an answer that is expected to have so many. */
+  computeReservation(bytes: number): number {
+    return Math.min(bytes, Math.floor(this.#maxBytes * MAX_RESERVATION_SHARE));
+  }
+
+  /** Makes room for a reservation; returns how many bytes are missing for it. */
   evictUnreadFor(bytes: number): number {
     const missing = (): number =>
       Math.max(0, this.#total + bytes - this.#maxBytes * (1 - OTHERS_SHARE));
