--- a/packages/core/src/queueing/queue-lane.ts
+++ b/packages/core/src/queueing/queue-lane.ts
@@ -75,11 +75,12 @@
     ];
   }
 
-  /** Finds the first request that is no retry. */
-  findFirst(): RankedEntry<Entry> | undefined {
-    const { first } = this.inTime;
-    if (first) return { ...first, group: IN_TIME_GROUP + this.#step };
-    return this.late.first && { ...this.late.first, group: LATE_GROUP + this.#step };
+  /** Finds the first wanted request that is no retry. */
+  findFirst(isWanted: (entry: Entry) => boolean): RankedEntry<Entry> | undefined {
+    const inTime = this.inTime.list().find(({ entry }) => isWanted(entry));
+    if (inTime) return { ...inTime, group: IN_TIME_GROUP + this.#step };
+    const late = this.late.list().find(({ entry }) => isWanted(entry));
+    return late && { ...late, group: LATE_GROUP + this.#step };
   }
 
   /** Counts the requests here that are served before one of the given rank, which is no retry. */
--- a/packages/core/src/queueing/request-queue.test.ts
+++ b/packages/core/src/queueing/request-queue.test.ts
@@ -58,7 +58,7 @@
         known = [...known, request];
         const expected = listInOrder(known, now);
         expect(queue.list(now).map((entry) => entry.id)).to.deep.equal(expected);
-        const next = queue.findNext(now, { wantsKind: () => true, wantsRetry: () => true });
+        const next = queue.findNext(now, { wantsKind: () => true, wantsEntry: () => true });
         expect(next?.id).to.equal(expected[0]);
         const removed = random.next() < 0.5 ? expected[0] : expected.at(-1);
         if (removed !== undefined && random.next() < 0.6) {
@@ -84,7 +84,7 @@
     );
     const next = queue.findNext(0, {
       wantsKind: (isRepeatable, isRetry) => !isRetry && isRepeatable,
-      wantsRetry: () => true,
+      wantsEntry: () => true,
     });
     expect(next?.id).to.equal(expected[0]);
   });
@@ -150,7 +150,7 @@
     const added = build('new');
     queue.countAhead(added, 10);
     queue.add(added);
-    queue.findNext(10, { wantsKind: () => true, wantsRetry: () => true });
+    queue.findNext(10, { wantsKind: () => true, wantsEntry: () => true });
     queue.remove('new');
     queue.takeExpired(10);
     return reads;
--- a/packages/core/src/queueing/request-queue.ts
+++ b/packages/core/src/queueing/request-queue.ts
@@ -43,7 +43,7 @@
 export type Wanted<Entry> = {
   /** Whether requests are wanted that are repeatable or not, that are retries or not, of a rank. */
   readonly wantsKind: (isRepeatable: boolean, isRetry: boolean, yieldRank: number) => boolean;
-  readonly wantsRetry: (entry: Entry) => boolean;
+  readonly wantsEntry: (entry: Entry) => boolean;
 };
 
 function computeLateKey({ targetAt, expectedAttemptMs }: QueuedRequest): number {
@@ -170,15 +170,15 @@
 
   #findFirst(
     lane: QueueLane<Entry>,
-    { wantsKind, wantsRetry }: Wanted<Entry>,
+    { wantsKind, wantsEntry }: Wanted<Entry>,
   ): RankedEntry<Entry> | undefined {
     const { yieldRank, isRepeatable, retries } = lane;
     const retry =
       retries.size > 0 && wantsKind(isRepeatable, true, yieldRank)
-        ? retries.list().find(({ entry }) => wantsRetry(entry))
+        ? retries.list().find(({ entry }) => wantsEntry(entry))
         : undefined;
     if (retry) return { ...retry, group: RETRY_GROUP };
-    return wantsKind(isRepeatable, false, yieldRank) ? lane.findFirst() : undefined;
+    return wantsKind(isRepeatable, false, yieldRank) ? lane.findFirst(wantsEntry) : undefined;
   }
 
   #findYieldRank(request: QueuedRequest): number {
--- a/packages/core/src/queueing/simulated-overload.ts
+++ b/packages/core/src/queueing/simulated-overload.ts
@@ -183,7 +183,7 @@
     const isYieldingTurn = isFormer || now % YIELDING_INTERVAL_MS === 0;
     const next = daemon.queue.findNext(now, {
       wantsKind: (_isRepeatable, _isRetry, yieldRank) => yieldRank === 0 || isYieldingTurn,
-      wantsRetry: () => true,
+      wantsEntry: () => true,
     });
     if (next) {
       daemon.queue.remove(next.id);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
   PlatformAdapter,
   RecordSource,
 } from './dialect/index.js';
+import { DownloadGate } from './downloads/index.js';
 import { FleetQuarantine } from './crash-quarantine/index.js';
 import { createDirectoryServer, createReadinessServer } from './directory/index.js';
 import { CallerServer, REQUEST_PHASES } from './edge/index.js';
@@ -32,7 +33,7 @@
 import type { ExceptionOrigin } from './exceptions/index.js';
 import { FleetSocket } from './datagrams/index.js';
 import type { DatagramTag } from './datagrams/index.js';
-import { HeldBytes } from './held-bytes/index.js';
+import { computeMaxHeldBytes, HeldBytes } from './held-bytes/index.js';
 import { FleetLinks, TrafficMeter } from './fleet/index.js';
 import type { TrafficPurpose } from './fleet/index.js';
 import { closeServer, HttpClient, listenOn } from './http/index.js';
@@ -105,6 +106,8 @@
 
   readonly #heldBytes: HeldBytes;
 
+  readonly #downloads: DownloadGate;
+
   readonly #services: RoutedServices;
 
   readonly #fleet: FleetLinks;
@@ -164,7 +167,13 @@
       this.#log.warn('record-unusable', { key, reason }),
     );
     this.#fleetSocket = this.#createFleetSocket();
-    this.#heldBytes = new HeldBytes(settings.maxHeldBytes);
+    this.#heldBytes = new HeldBytes(computeMaxHeldBytes(settings), this.#clock);
+    this.#downloads = new DownloadGate({
+      clock: this.#clock,
+      machine: settings.machine,
+      heldBytes: this.#heldBytes,
+      onRefused: (cause) => this.#metrics.recordDownloadRefusal(cause),
+    });
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#keyLease = this.#createKeyLease();
@@ -371,6 +380,7 @@
     this.#linkMonitor.runTick();
     this.#keyLease.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
+    this.#fleet.announceLoad(this.#advertisedLoad.refresh(this.#downloads.computeRequestWeight()));
   }
 
   #logTraffic(): void {
@@ -397,6 +407,7 @@
         getKeyLeaseAgeMs: () => this.#keyLease.ageMs,
         isCutOff: () => this.#linkMonitor.isCutOff,
         listTraffic: () => this.#traffic.list(),
+        describeDownloads: () => this.#downloads.describe(),
       },
       (error) => this.#log.warn('metrics-fault', { reason: error.message }),
     );
@@ -428,8 +439,11 @@
         const accounts = this.#keyLease.findAccounts(this.#services.routes);
         return accounts && checkKeyAgain(caller, accounts, this.#keyLease.validity);
       },
-      onBytes: (purpose, dataCentre, bytes) =>
-        this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
+      getDownloads: () => (this.#downloads.isActive ? this.#downloads : undefined),
+      onBytes: (purpose, dataCentre, bytes) => {
+        if (purpose === 'requests') this.#downloads.recordSent(bytes);
+        this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes);
+      },
     });
   }
 
@@ -554,6 +568,7 @@
       onRefused: (error, requestId, target) =>
         this.#recorder.recordRefusal(error, requestId, target),
       onCut: (cut) => this.#recorder.recordCut(cut),
+      onSlowReader: (slow) => this.#recorder.recordSlowReader(slow),
       onException: (error) => this.recordException('caller', error),
     });
   }
@@ -566,6 +581,7 @@
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     this.#advertisedLoad.recordArrival();
     return this.#services.serve(request, (end) => {
+      if (end.kind === 'answered') this.#downloads.recordAnswered(request, end.answer.bodyBytes);
       this.#recorder.recordEnd(request, end);
       onEnd(end);
     });
@@ -617,6 +633,7 @@
     if (!routes) return;
     const { version, limits } = routes.configuration;
     this.#callerServer.applyLimits(limits);
+    this.#downloads.applyConfiguration(routes.configuration);
     this.#log.info('configuration', { version, routes: routes.configuration.routes.length });
   }
 
--- a/packages/gateway/src/requests/queue-entry.ts
+++ b/packages/gateway/src/requests/queue-entry.ts
@@ -1,7 +1,7 @@
 /**
  * What a request shows to the queue of its service.
  */
-import { isRepeatableKind } from '@baobabline/core';
+import { isLargeBody, isRepeatableKind } from '@baobabline/core';
 import type { QueuedRequest } from '@baobabline/core';
 
 import type { RoutedRequest } from './types.js';
@@ -10,10 +10,14 @@
 const SHORTEST_ATTEMPT_SHARE = 0.5;
 const MIN_ATTEMPT_MS = 20;
 
-export type QueueEntry = QueuedRequest & { readonly isRepeatable: boolean };
+export type QueueEntry = QueuedRequest & {
+  readonly isRepeatable: boolean;
+  /** Whether it may find no upstream although others do; it holds nothing up behind it. */
+  readonly hasLargeBody: boolean;
+};
 
 export function buildQueueEntry(
-  { id, arrivedAt, endAt, priority, route, caller }: RoutedRequest,
+  { id, arrivedAt, endAt, priority, route, caller, bodyBytes }: RoutedRequest,
   usualAttemptMs: number,
   isRetry: boolean,
 ): QueueEntry {
@@ -25,6 +29,7 @@
     priority,
     accountName: caller?.account.name,
     isRepeatable: isRepeatableKind(route.kind),
+    hasLargeBody: isLargeBody(bodyBytes),
     targetAt: arrivedAt + route.targetLatencyMs,
     latestSendAt: endAt - Math.max(MIN_ATTEMPT_MS, usualAttemptMs * SHORTEST_ATTEMPT_SHARE),
   };
--- a/packages/gateway/src/requests/request-run-types.ts
+++ b/packages/gateway/src/requests/request-run-types.ts
@@ -7,6 +7,7 @@
 import type { UpstreamConnection } from '../upstreams/index.js';
 import type { AttemptTimes } from './attempt-times.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DownloadControl } from './download-control.js';
 import type { RequestStep, RoutedRequest } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
 
@@ -19,6 +20,8 @@
   readonly onLoadChange: () => void;
   readonly onStep: (request: RoutedRequest, step: RequestStep) => void;
   readonly crashGuard: CrashGuard;
+  /** Undefined where the configuration has no downloads. */
+  readonly downloads?: DownloadControl | undefined;
   /** Returns why a request may no longer be sent; its key may have been removed while it waited. */
   readonly checkCaller: (request: RoutedRequest) => RequestError | undefined;
   /** Called with the size of a request or an answer in bytes, and the upstream's data centre. */
@@ -31,6 +34,8 @@
   readonly state: UpstreamState;
   readonly startedAt: number;
   readonly isHedge: boolean;
+  /** Ends what is reserved for the answer. */
+  readonly endReservation: (() => void) | undefined;
   connection: UpstreamConnection | undefined;
   overdueTimer: NodeJS.Timeout | undefined;
 };
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -121,6 +121,10 @@
     return this.#request.endAt - this.#now;
   }
 
+  get #usualMs(): number {
+    return this.#dependencies.times.getMeanMs(this.#request.route.id);
+  }
+
   get #canTryAgain(): boolean {
     return this.#tried.size + 1 < this.#request.route.maxAttempts;
   }
@@ -139,6 +143,7 @@
       this.#refuseQuarantined(verdict.retryAfterMs);
       return true;
     }
+    if (this.#refuseUndeliverable()) return true;
     const choice = this.#scheduler.choose({
       isRepeatable: this.#isRepeatable,
       canTryAgain: this.#canTryAgain,
@@ -152,6 +157,16 @@
     return true;
   }
 
+  /** Refuses a download whose answer could not be held or delivered; returns whether it did. */
+  #refuseUndeliverable(): boolean {
+    const { downloads } = this.#dependencies;
+    const refusal = downloads?.checkDelivery(this.#request, this.#usualMs);
+    if (!refusal) return false;
+    this.#record(refusal.step);
+    this.#failWith(refusal.error);
+    return true;
+  }
+
   #waitOrRefuse(): void {
     if (!this.#scheduler.hasUsable(this.#tried)) {
       this.#fail('noUpstream');
@@ -213,12 +228,14 @@
     if (this.#tried.size === 0) this.#scheduler.queue.recordServed(this.#request);
     this.#tried.add(upstreamId);
     this.#sentCount += 1;
-    this.#scheduler.recordStart(state);
+    this.#scheduler.recordStart(state, this.#request.bodyBytes);
+    const reservation = this.#dependencies.downloads?.expectAnswer(this.#request);
     this.#dependencies.onLoadChange();
     const attempt: Attempt = {
       upstreamId,
       state,
       isHedge,
+      endReservation: reservation?.end,
       startedAt: this.#now,
       connection: undefined,
       overdueTimer: this.#startOverdueTimer(upstreamId),
@@ -241,6 +258,7 @@
         method: this.#request.method,
         head,
         body: this.#request.body,
+        expectedBytes: reservation?.bytes ?? 0,
       },
       this.#isRepeatable,
       (end) => this.#handleEnd(attempt, end),
@@ -280,6 +298,7 @@
     // A second attempt could end a second upstream before the first attempt shows that it does.
     if (this.#dependencies.crashGuard.isSuspect(this.#request.fingerprint)) return;
     if (this.#dependencies.checkCaller(this.#request)) return;
+    if (this.#dependencies.downloads?.canDeliver(this.#request, this.#usualMs) === false) return;
     const choice = this.#scheduler.choose({
       isRepeatable: true,
       canTryAgain: false,
@@ -302,7 +321,8 @@
   #release(attempt: Attempt): void {
     clearTimeout(attempt.overdueTimer);
     this.#attempts = this.#attempts.filter((other) => other !== attempt);
-    attempt.state.recordEnd();
+    attempt.endReservation?.();
+    attempt.state.recordEnd(this.#request.bodyBytes);
     this.#dependencies.onLoadChange();
   }
 
@@ -329,6 +349,7 @@
     if (isGood) {
       this.#dependencies.times.record(this.#request.route.id, elapsedMs);
       this.#scheduler.queue.recordAttemptTime(elapsedMs);
+      this.#dependencies.downloads?.recordAnswer(this.#request, answer.bodyBytes);
       this.#succeed(answer, upstreamId);
       return;
     }
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -37,6 +37,8 @@
   WaitEnds & {
     /** Whether it may run more than once. */
     readonly isRepeatable: boolean;
+    /** Whether it may find no upstream although others do; it holds nothing up behind it. */
+    readonly hasLargeBody?: boolean;
     /** Tries to place the request; returns whether it can leave the queue. */
     readonly tryPlace: () => boolean;
   };
@@ -85,6 +87,8 @@
 type Round = {
   readonly servesYielding: boolean;
   readonly retries: Map<string, boolean>;
+  /** Requests with large bodies that found no upstream with room for them. */
+  readonly largeBodies: Set<string>;
   readonly kinds: Set<boolean>;
 };
 
@@ -219,7 +223,12 @@
   serve(isYieldingTurn = false): void {
     if (this.#requests.size === 0) return;
     const servesYielding = isYieldingTurn || this.#judge.listOverShare().length === 0;
-    this.#serveNext({ servesYielding, retries: new Map(), kinds: new Set() });
+    this.#serveNext({
+      servesYielding,
+      retries: new Map(),
+      largeBodies: new Set(),
+      kinds: new Set(),
+    });
   }
 
   /**
@@ -232,17 +241,18 @@
   }
 
   #serveNext(round: Round): void {
-    const { servesYielding, retries, kinds } = round;
+    const { servesYielding, retries, largeBodies, kinds } = round;
     const waiter = this.#requests.findNext(this.#ports.clock.now(), {
       wantsKind: (isRepeatable, isRetry, yieldRank) =>
         isRetry
           ? [...retries.values()].filter((one) => one === isRepeatable).length < MAX_BLOCKED_RETRIES
           : !kinds.has(isRepeatable) && (servesYielding || yieldRank === 0),
-      wantsRetry: ({ id }) => !retries.has(id),
+      wantsEntry: ({ id }) => !retries.has(id) && !largeBodies.has(id),
     });
     if (!waiter) return;
     if (waiter.tryPlace()) this.#requests.remove(waiter.id);
     else if (waiter.isRetry) retries.set(waiter.id, waiter.isRepeatable);
+    else if (waiter.hasLargeBody) largeBodies.add(waiter.id);
     else kinds.add(waiter.isRepeatable);
     this.#serveNext(round);
   }
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -2,7 +2,7 @@
  * Schedules the requests of one service at one dispatcher: knows its upstreams, and chooses one for
  * each attempt. The requests that wait are kept by its queue.
  */
-import { chooseNearFirst, ShedPauses } from '@baobabline/core';
+import { chooseNearFirst, mayHoldBody, ShedPauses } from '@baobabline/core';
 import type {
   Clock,
   PlacementCandidate,
@@ -42,6 +42,8 @@
   readonly onAnswer: (judged: JudgedAnswer) => void;
   readonly onTrustChange: (upstreamId: string, change: TrustChange) => void;
   readonly onLinkChange: (upstreamId: string, change: TrustChange) => void;
+  /** Whether large bodies at one upstream are bounded over the fleet. */
+  readonly boundsBodies?: () => boolean;
   /** Whether this daemon has lost its links to most upstreams. */
   readonly isCutOff: () => boolean;
   /** Called when a connection to an upstream could not be opened or used, or brought no answer. */
@@ -185,8 +187,8 @@
   }
 
   /** Records that a request is sent to an upstream, which uses up a permit of its rate limit. */
-  recordStart(state: UpstreamState): void {
-    state.recordStart();
+  recordStart(state: UpstreamState, bodyBytes = 0): void {
+    state.recordStart(bodyBytes);
     const { rateLimit, record } = state;
     if (!rateLimit.isLimited) return;
     const { clock, getRateLimitShare } = this.#dependencies;
@@ -348,9 +350,20 @@
     return rateLimit.mayStart(this.#dependencies.getRateLimitShare(record.id), now);
   }
 
+  #mayHoldBody(state: UpstreamState, bodyBytes: number): boolean {
+    if (!this.#dependencies.boundsBodies?.()) return true;
+    const { record, largeBytes } = state;
+    const peersInFlight = this.countInFlightElsewhere(state);
+    return mayHoldBody(bodyBytes, {
+      slots: record.slots,
+      ownLargeBytes: largeBytes,
+      peersInFlight,
+    });
+  }
+
   /** Upstreams that may receive the request now: those of this data centre, or all. */
   #listCandidates(
-    { excluded }: PlacementNeeds,
+    { excluded, bodyBytes }: PlacementNeeds,
     now: number,
     isNearOnly: boolean,
   ): readonly PlacementCandidate[] {
@@ -361,6 +374,7 @@
         !state.isLeaving &&
         !excluded.has(state.record.id) &&
         !this.#sheds.isPaused(state.record.id, now) &&
+        this.#mayHoldBody(state, bodyBytes) &&
         this.#hasPermit(state, now),
     );
     const reached = open.filter(({ record }) => !links.isSuspect(record.id, now));
