Keep the quotas of client accounts over the fleet

Accounts have a rate and a burst over all daemons together, and any daemon may receive their requests. Each daemon keeps a token bucket of the whole fleet's use per account, reports its admissions by datagram and may use a share of the tokens between two reports. Refused requests get 429 with a Retry-After. Without quotas in the configuration nothing is sent.

--- /dev/null
+++ b/packages/core/src/account-quotas/index.ts
@@ -0,0 +1,11 @@
+export { AccountQuota } from './account-quota.js';
+export type { AccountQuotaOptions } from './account-quota.js';
+export { FleetBucket } from './fleet-bucket.js';
+export { HeardDaemons } from './heard-daemons.js';
+export type { HeardReport } from './heard-daemons.js';
+export { computeQuotaLimits } from './quota-limits.js';
+export type { QuotaBounds, QuotaLimits } from './quota-limits.js';
+export { RetryTimes } from './retry-times.js';
+export { computeTokenShare, mayGrant } from './token-share.js';
+export type { DaemonDemand, TokenShare } from './token-share.js';
+export type { AccountUsage, QuotaVerdict, QuotaView, UsageSender } from './types.js';
--- /dev/null
+++ b/packages/core/src/account-quotas/token-share.ts
@@ -0,0 +1,85 @@
+/**
+ * Which of an account's tokens a daemon may use before the others have heard of it.
+ *
+ * Load patterns:
+ * - A flood through many daemons at once. Each may use a share of the tokens in proportion to its
+ *   part of the recent demand, so that the shares add up to one. A daemon's own demand counts only
+ *   once the others must have heard of it, and that of others at once, so that while demand moves
+ *   the sum stays below one.
+ * - An account that appears at a daemon without requests before. A part of the tokens is divided
+ *   equally among the dispatchers, whatever their demand.
+ * - A small account through many daemons, whose shares are all less than one token. A bounded number
+ *   of daemons may take one token nevertheless: first those with demand, then other dispatchers, by
+ *   rendezvous hashing. Each further one waits for a few more tokens, so that a flood does not make
+ *   all of them take one at the same moment.
+ */
+import type { HashText } from '../runtime/index.js';
+import type { QuotaLimits } from './quota-limits.js';
+
+/** Demand of a daemon for an account, as a decaying count of its requests. */
+export type DaemonDemand = { readonly id: string; readonly demand: number };
+
+export type ShareInput = {
+  readonly accountName: string;
+  readonly selfId: string;
+  /** Own demand that the others must have heard of. */
+  readonly ownDemand: number;
+  readonly others: readonly DaemonDemand[];
+  readonly dispatcherIds: readonly string[];
+  readonly hash: HashText;
+};
+
+export type TokenShare = {
+  /** Part of the tokens, from 0 to 1. */
+  readonly share: number;
+  /** Position among the daemons that may take a single token; infinite if this one may not. */
+  readonly rank: number;
+};
+
+export type GrantInput = TokenShare & {
+  /** Tokens that are left, own admissions that others may not know of included. */
+  readonly tokens: number;
+  /** Own admissions that others may not know of. */
+  readonly unknownToOthers: number;
+  readonly limits: QuotaLimits;
+  readonly refillPerMs: number;
+};
+
+/** Part of the tokens that is divided equally among the dispatchers. */
+const EQUAL_PART = 0.2;
+/** A daemon with less demand than this has had no request for some seconds. */
+export const MIN_DEMAND = 0.05;
+/** Time in which a taken token is reported to the next daemon in rank. */
+const RANK_STEP_MS = 20;
+
+export function computeTokenShare(input: ShareInput): TokenShare {
+  const { ownDemand, others, dispatcherIds, selfId } = input;
+  const total = others.reduce((sum, { demand }) => sum + demand, ownDemand);
+  const byDemand = total > 0 ? ownDemand / total : 0;
+  const isDispatcher = dispatcherIds.includes(selfId);
+  const equal = isDispatcher ? 1 / dispatcherIds.length : 0;
+  return { share: (1 - EQUAL_PART) * byDemand + EQUAL_PART * equal, rank: computeRank(input) };
+}
+
+function computeRank(input: ShareInput): number {
+  const { accountName, selfId, ownDemand, others, dispatcherIds, hash } = input;
+  const score = (id: string): number => hash(`${accountName}|${id}`);
+  const own = score(selfId);
+  const active = others.filter(({ demand }) => demand >= MIN_DEMAND);
+  if (ownDemand >= MIN_DEMAND) return active.filter(({ id }) => score(id) > own).length;
+  if (!dispatcherIds.includes(selfId)) return Number.POSITIVE_INFINITY;
+  const activeIds = new Set(active.map(({ id }) => id));
+  const idle = dispatcherIds.filter((id) => !activeIds.has(id));
+  return active.length + idle.filter((id) => score(id) > own).length;
+}
+
+/** Returns whether one more request may be admitted before the next report. */
+export function mayGrant(input: GrantInput): boolean {
+  const { tokens, unknownToOthers, share, rank, limits, refillPerMs } = input;
+  const left = tokens - unknownToOthers;
+  if (left < 1) return false;
+  if (unknownToOthers + 1 <= share * Math.min(tokens, limits.maxGranted)) return true;
+  if (unknownToOthers >= 1 || rank >= limits.maxSingleTakers) return false;
+  const step = Math.min(refillPerMs * RANK_STEP_MS, (limits.capacity - 1) / limits.maxSingleTakers);
+  return left >= 1 + rank * step;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './account-quotas/index.js';
 export * from './accounts/index.js';
 export * from './crash-quarantine/index.js';
 export * from './documents/index.js';
--- a/packages/core/src/upstream-limits/rate-limit-shares.ts
+++ b/packages/core/src/upstream-limits/rate-limit-shares.ts
@@ -118,6 +118,16 @@
     return Math.min(...this.#views.map(({ visiblePart }) => visiblePart));
   }
 
+  /**
+   * Returns the same for limits that a daemon may use as soon as it runs, since it learns from the
+   * others what they have used: until it has run for some seconds, the part that it sees now.
+   */
+  getLatestVisiblePart(): number {
+    this.refresh();
+    const isSettled = this.#ports.clock.now() >= this.#runningSince + SETTLE_MS;
+    return isSettled ? this.getVisiblePart() : (this.#views.at(-1)?.visiblePart ?? 0);
+  }
+
   /** Brings the view of the fleet up to date; to be called several times a second. */
   refresh(): void {
     const { clock, getWallTime, getRevision, listDispatchers } = this.#ports;
--- a/packages/gateway/src/datagrams/fleet-socket.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.ts
@@ -16,7 +16,8 @@
   | 'poll'
   | 'news'
   | 'rate-limits'
-  | 'crash-reports';
+  | 'crash-reports'
+  | 'account-usage';
 
 const TAGS: readonly DatagramTag[] = [
   'report',
@@ -28,6 +29,7 @@
   'news',
   'rate-limits',
   'crash-reports',
+  'account-usage',
 ];
 
 /** Handles a datagram's body and its sender's address; returns whether the body was valid. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,8 @@
 import type { Server } from 'node:http';
 import { setImmediate as waitForEvents, setTimeout as wait } from 'node:timers/promises';
 
+import { createFleetQuotas, serveWithinQuota } from './account-usage/index.js';
+import type { AccountQuotas } from './account-usage/index.js';
 import { checkKeyAgain, UNBOUNDED_KEY_VALIDITY } from './caller-keys/index.js';
 import type {
   DirectoryResponse,
@@ -80,6 +82,7 @@
   news: 'records',
   'rate-limits': 'reports',
   'crash-reports': 'reports',
+  'account-usage': 'reports',
 };
 
 export type GatewayPhase = 'joining' | 'serving' | 'leaving' | 'stopped';
@@ -114,6 +117,8 @@
 
   readonly #rateLimits: FleetRateLimits;
 
+  readonly #quotas: AccountQuotas;
+
   readonly #quarantine: FleetQuarantine;
 
   readonly #linkMonitor: UpstreamLinkMonitor;
@@ -169,6 +174,14 @@
       socket: this.#fleetSocket,
       services: this.#services,
     });
+    this.#quotas = createFleetQuotas({
+      clock: this.#clock,
+      log: this.#log,
+      settings,
+      fleet: this.#fleet,
+      socket: this.#fleetSocket,
+      getVisiblePart: () => this.#rateLimits.getLatestVisiblePart(),
+    });
     this.#quarantine = new FleetQuarantine({
       clock: this.#clock,
       random: this.#random,
@@ -319,6 +332,7 @@
     this.#services.close();
     this.#reports.stop();
     this.#rateLimits.stop();
+    this.#quotas.stop();
     this.#quarantine.stop();
     this.#linkMonitor.stop();
     this.#fleetSocket.close();
@@ -346,6 +360,7 @@
     this.#recordExchange.runTick();
     this.#services.runTick();
     this.#rateLimits.runTick();
+    this.#quotas.runTick();
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
@@ -373,6 +388,8 @@
         isStoreUnavailable: () => this.#recordExchange.isStoreAway,
         isDispatcher: () => this.#fleet.isDispatcher,
         isCutOff: () => this.#linkMonitor.isCutOff,
+        getAccountsOverQuota: () => this.#quotas.overQuotaCount,
+        getQuotaVisiblePart: () => this.#quotas.visiblePart,
         listTraffic: () => this.#traffic.list(),
       },
       (error) => this.#log.warn('metrics-fault', { reason: error.message }),
@@ -508,10 +525,13 @@
 
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     this.#advertisedLoad.recordArrival();
-    return this.#services.serve(request, (end) => {
+    const handleEnd = (end: RequestEnd): void => {
       this.#recorder.recordEnd(request, end);
       onEnd(end);
-    });
+    };
+    return serveWithinQuota(this.#quotas, request, handleEnd, (admitted, onAdmittedEnd) =>
+      this.#services.serve(admitted, onAdmittedEnd),
+    );
   }
 
   #createPeerServer(): Server {
@@ -559,6 +579,7 @@
     if (!routes) return;
     const { version, limits } = routes.configuration;
     this.#callerServer.applyLimits(limits);
+    this.#quotas.setAccounts(routes.configuration.accounts ?? []);
     this.#log.info('configuration', { version, routes: routes.configuration.routes.length });
   }
 
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -39,6 +39,10 @@
   readonly isDispatcher: () => boolean;
   /** Whether this daemon reaches hardly any upstream. */
   readonly isCutOff: () => boolean;
+  /** Client accounts with requests refused for their quotas lately. */
+  readonly getAccountsOverQuota: () => number;
+  /** Part of the fleet whose use of quotas is known, from 0 to 1. */
+  readonly getQuotaVisiblePart: () => number;
   readonly listTraffic: () => readonly TrafficRow[];
 };
 
@@ -130,6 +134,16 @@
       'Requests that are refused since upstreams ended with them in flight',
       source.countQuarantinedRequests,
     );
+    this.#registerGauge(
+      'baobabline_accounts_over_quota',
+      'Client accounts with requests refused for their quotas lately',
+      source.getAccountsOverQuota,
+    );
+    this.#registerGauge(
+      'baobabline_quota_visible_part',
+      'Part of the fleet whose use of the quotas of client accounts is known, from 0 to 1',
+      source.getQuotaVisiblePart,
+    );
     this.#registerGauge(
       'baobabline_store_revision',
       'Revision up to which changes are known',
--- a/packages/gateway/src/rate-limits/fleet-rate-limits.ts
+++ b/packages/gateway/src/rate-limits/fleet-rate-limits.ts
@@ -79,6 +79,11 @@
     return this.#shares.getVisiblePart();
   }
 
+  /** The same as far as it falls at once; it rises late only once this daemon has run for a while. */
+  getLatestVisiblePart(): number {
+    return this.#shares.getLatestVisiblePart();
+  }
+
   /** Logs a change of an upstream's rate limit, and reports it if it came in an answer. */
   recordChange(upstream: string, change: RateLimitChange, source: 'answer' | 'report'): void {
     const share = this.getShare(upstream);
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -8,4 +8,10 @@
 export { ServiceScheduler } from './service-scheduler.js';
 export type { ServiceSchedulerDependencies, JudgedAnswer } from './service-scheduler.js';
 export { UpstreamState } from './upstream-state.js';
-export type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
+export type {
+  PlacedRequest,
+  RequestEnd,
+  RequestStep,
+  RoutedRequest,
+  ServedRequest,
+} from './types.js';
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -19,7 +19,7 @@
 import type { CrashGuard } from './crash-guard.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
-import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
+import type { PlacedRequest, RequestEnd, RequestStep, RoutedRequest } from './types.js';
 
 export type RequestRunDependencies = {
   readonly clock: Clock;
@@ -62,7 +62,7 @@
 /** Statuses of an upstream that shed the request, if the answer also states that it did not run. */
 const SHED_STATUSES: readonly number[] = [429, 503];
 
-export class RequestRun implements ServedRequest {
+export class RequestRun implements PlacedRequest {
   readonly #request: RoutedRequest;
 
   readonly #scheduler: ServiceScheduler;
@@ -119,6 +119,10 @@
     return this.#attempts.length > 0;
   }
 
+  get hasBeenSent(): boolean {
+    return this.#sentCount > 0;
+  }
+
   /** Cancels the request because the caller disconnected, and aborts its attempts. */
   cancel(): void {
     if (this.#isDone) return;
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -45,5 +45,11 @@
   failAsStopping(): void;
 }
 
+/** A request for which an upstream is chosen. */
+export interface PlacedRequest extends ServedRequest {
+  /** Whether any of it was sent to an upstream, or may have been. */
+  readonly hasBeenSent: boolean;
+}
+
 /** One line of a request's story, for the log. */
 export type RequestStep = Readonly<Record<string, unknown>> & { readonly step: string };
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -35,10 +35,10 @@
 import type {
   CrashGuard,
   JudgedAnswer,
+  PlacedRequest,
   RequestEnd,
   RequestStep,
   RoutedRequest,
-  ServedRequest,
 } from '../requests/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import { UpstreamPool } from '../upstreams/index.js';
@@ -171,7 +171,7 @@
     return hasNewRoutes;
   }
 
-  serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
+  serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): PlacedRequest {
     const desk = this.#getDesk(request.service);
     const run = new RequestRun(
       request,
