Let daemons that are no dispatchers follow the dispatchers' figures

Daemons that are no dispatchers did not hear of each other, so that a flood through all of 36 daemons ran at up to four times its quota in a simulated fleet. They now take the tokens and the demand of the fleet from the dispatchers' reports, and shares that are less than a token are drawn.

--- a/packages/core/src/account-quotas/account-quota.ts
+++ b/packages/core/src/account-quotas/account-quota.ts
@@ -13,10 +13,17 @@
 import { FleetBucket } from './fleet-bucket.js';
 import { computeQuotaLimits } from './quota-limits.js';
 import type { QuotaBounds, QuotaLimits } from './quota-limits.js';
+import { DEMAND_MS, PeerUsages } from './peer-usages.js';
 import { RetryTimes } from './retry-times.js';
-import { computeTokenShare, mayGrant, MIN_DEMAND } from './token-share.js';
+import {
+  computeFollowerShare,
+  computeTokenShare,
+  HASH_RANGE,
+  mayGrant,
+  MIN_DEMAND,
+} from './token-share.js';
 import type { TokenShare } from './token-share.js';
-import type { AccountUsage, QuotaVerdict, QuotaView, UsageSender } from './types.js';
+import type { AccountUsage, FleetUsage, QuotaVerdict, QuotaView, UsageSender } from './types.js';
 
 export type AccountQuotaOptions = {
   readonly bounds: QuotaBounds;
@@ -25,24 +32,14 @@
   readonly isNew: boolean;
 };
 
-type PeerUsage = {
-  readonly startId: number;
-  readonly count: number;
-  readonly demand: DecayingCount;
-};
-
 type SentReport = {
   readonly at: number;
   readonly count: number;
   readonly demand: DecayingCount;
 };
 
-/** Time constant of the demand: long enough to see an account of one request a second. */
-const DEMAND_MS = 2000;
 /** Time constant of the rate over the fleet. */
 const RATE_MS = 1000;
-/** Time in which a report reaches the others and is applied there. */
-const ARRIVAL_MS = 25;
 /** A daemon that knew nothing adopts what others report for this long. */
 const LEARNING_MS = 1000;
 /** Changes are reported again for this long, in case a report was lost. */
@@ -68,7 +65,7 @@
 
   readonly #retryTimes = new RetryTimes();
 
-  readonly #peers = new Map<string, PeerUsage>();
+  readonly #peers = new PeerUsages();
 
   #rate: BucketRate;
 
@@ -84,6 +81,8 @@
   /** Reports of this account that were sent, oldest first; only the first may have arrived. */
   #sent: readonly SentReport[] = [];
 
+  #reportCount = 0;
+
   #changedAt = Number.NEGATIVE_INFINITY;
 
   #isChanged = false;
@@ -98,11 +97,7 @@
    * Starts without tokens, unless the account has only now come into the configuration: then all
    * daemons begin with a full bucket.
    */
-  constructor(
-    account: ClientAccount,
-    { bounds, hash, isNew }: AccountQuotaOptions,
-    now: number,
-  ) {
+  constructor(account: ClientAccount, { bounds, hash, isNew }: AccountQuotaOptions, now: number) {
     this.name = account.name;
     this.#hash = hash;
     this.#bounds = bounds;
@@ -123,7 +118,8 @@
   }
 
   /** Requests of the account that are admitted per second over the fleet, lately. */
-  getFleetRate(now: number): number {
+  getFleetRate({ isFollower }: QuotaView, now: number): number {
+    if (isFollower) return this.#findFleetUsage(now)?.ratePerSecond ?? 0;
     return computeDecayed(this.#fleetAdmitted, now, RATE_MS) / (RATE_MS / MS_PER_SECOND);
   }
 
@@ -146,19 +142,19 @@
     const isNew = this.#getKnownDemand(view, now) < MIN_DEMAND;
     this.#demand = addEvents(this.#demand, 1, now, DEMAND_MS);
     this.#markChanged(now);
-    const { share, rank } = this.#getShare(view, now);
+    const share = this.#getShare(view, now);
     const { refillPerMs } = this.#bucket;
     const isAdmitted = mayGrant({
       tokens: tokens + unknownToOthers,
       unknownToOthers,
-      share,
-      rank,
+      ...share,
       limits: this.#limits,
       refillPerMs,
+      draw: this.#hash(`${this.name}|${view.selfId}|${this.#reportCount}`) / HASH_RANGE,
     });
     if (isAdmitted) this.#addAdmitted(1, now);
     const isUrgent = isNew || !isAdmitted || tokens < URGENT_PART * this.#limits.capacity;
-    const outlook = { tokens, refillPerMs, share };
+    const outlook = { tokens, refillPerMs, share: share.share + share.equalShare };
     const retryAfterMs = isAdmitted ? 0 : this.#retryTimes.take(outlook, now);
     return { isAdmitted, retryAfterMs, isUrgent };
   }
@@ -170,36 +166,46 @@
   }
 
   /** Returns what is to be reported, and counts it as reported. */
-  takeUsage(now: number): AccountUsage {
+  takeUsage(view: QuotaView, now: number): AccountUsage {
     this.#isChanged = false;
+    this.#reportCount += 1;
     const sent = [...this.#sent, { at: now, count: this.#count, demand: this.#demand }];
-    const arrived = sent.findLastIndex(({ at }) => at <= now - ARRIVAL_MS);
+    const arrived = sent.findLastIndex(({ at }) => at <= now - view.demandArrivalMs);
     this.#sent = sent.slice(Math.max(0, arrived));
     return {
       count: this.#count,
       demand: computeDecayed(this.#demand, now, DEMAND_MS),
-      tokens: this.#isLearning(now) ? undefined : this.#bucket.getTokens(now),
+      fleet: view.isFollower ? undefined : this.#computeFleetUsage(view, now),
     };
   }
 
   /** Takes in the use that another daemon reports. */
-  applyUsage(sender: UsageSender, usage: AccountUsage, now: number): void {
-    const admitted = this.#countNew(sender, usage, now);
-    this.#peers.set(sender.id, {
-      startId: sender.startId,
-      count: usage.count,
-      demand: { value: usage.demand, at: now },
-    });
+  applyUsage(sender: UsageSender, usage: AccountUsage, view: QuotaView, now: number): void {
+    const isLearning = this.#isLearning(now);
+    // Daemons that start together hear each other's first counts only after they began to listen.
+    const listeningAt = this.#learningSince - LEARNING_MS;
+    const admitted = this.#peers.apply(sender, usage, { listeningAt, isLearning }, now);
     this.#share = undefined;
+    if (view.isFollower) {
+      this.#follow(view, now);
+      return;
+    }
     this.#fleetAdmitted = addEvents(this.#fleetAdmitted, admitted, now, RATE_MS);
     if (sender.wasSilent) this.#bucket.spendLate(admitted, now);
     else this.#bucket.spend(admitted, now);
-    if (usage.tokens !== undefined && this.#isLearning(now)) this.#adopt(usage.tokens, now);
+    if (usage.fleet && isLearning && !sender.isLearning) {
+      this.#applyTokens(usage.fleet.tokens, view, now);
+    }
+  }
+
+  /** Has the account reported soon, as another daemon needs to know of it. */
+  scheduleReport(now: number): void {
+    this.#markChanged(now);
   }
 
   /** Drops what is known of daemons that are gone. */
   keepPeers(ids: ReadonlySet<string>): void {
-    [...this.#peers.keys()].filter((id) => !ids.has(id)).forEach((id) => this.#peers.delete(id));
+    this.#peers.keep(ids);
   }
 
   /** Forgets what other daemons reported, as their reports may have been missed. */
@@ -227,53 +233,63 @@
   }
 
   /** The tokens that another daemon believes are left do not include own admissions under way. */
-  #adopt(tokens: number, now: number): void {
-    const unknown = this.#count - (this.#findArrived(now)?.count ?? 0);
-    const known = tokens - Math.max(0, unknown);
+  #applyTokens(tokens: number, view: QuotaView, now: number): void {
+    const known = tokens - this.#countUnknown(view, now);
     const adopted = this.#hasAdopted ? Math.min(known, this.#bucket.getTokens(now)) : known;
     this.#hasAdopted = true;
     this.#bucket.setTokens(adopted, now);
   }
 
-  /** Requests that a daemon admitted since its last report, or since this one began to listen. */
-  #countNew({ id, startId, startedAt }: UsageSender, usage: AccountUsage, now: number): number {
-    const known = this.#peers.get(id);
-    if (known?.startId === startId) return usage.count - known.count;
-    // Daemons that start together hear each other's first counts only after they began to listen.
-    if (known || startedAt > this.#learningSince - LEARNING_MS) return usage.count;
-    // Its earlier requests are in the tokens that were adopted; the latest may not be.
-    return this.#isLearning(now) ? 0 : Math.min(usage.count, Math.round(usage.demand));
+  /** Sets the tokens to what the dispatchers believe, less own admissions of which they do not know. */
+  #follow(view: QuotaView, now: number): void {
+    const fleet = this.#findFleetUsage(now);
+    if (fleet) this.#bucket.setTokens(fleet.tokens - this.#countUnknown(view, now), now);
+  }
+
+  #findFleetUsage(now: number): FleetUsage | undefined {
+    return this.#peers.findFleetUsage(this.#bucket.refillPerMs, now);
   }
 
-  #findArrived(now: number): SentReport | undefined {
-    return this.#sent.findLast(({ at }) => at <= now - ARRIVAL_MS);
+  #computeFleetUsage(view: QuotaView, now: number): FleetUsage {
+    const { demand, active } = this.#peers.sumDemand(this.#demand, now);
+    return {
+      tokens: this.#bucket.getTokens(now),
+      demand,
+      activeDaemons: active,
+      ratePerSecond: this.getFleetRate(view, now),
+    };
   }
 
-  #countUnknown({ hasRecipients }: QuotaView, now: number): number {
-    if (!hasRecipients) return 0;
-    return Math.max(0, this.#count - (this.#findArrived(now)?.count ?? 0));
+  #findSent(before: number): SentReport | undefined {
+    return this.#sent.findLast(({ at }) => at <= before);
   }
 
-  #getKnownDemand({ hasRecipients }: QuotaView, now: number): number {
-    const demand = hasRecipients ? (this.#findArrived(now)?.demand ?? NO_EVENTS) : this.#demand;
+  #countUnknown(view: QuotaView, now: number): number {
+    if (!view.hasRecipients) return 0;
+    return Math.max(0, this.#count - (this.#findSent(now - view.arrivalMs)?.count ?? 0));
+  }
+
+  #getKnownDemand(view: QuotaView, now: number): number {
+    const arrived = this.#findSent(now - view.demandArrivalMs)?.demand ?? NO_EVENTS;
+    const demand = view.hasRecipients ? arrived : this.#demand;
     return computeDecayed(demand, now, DEMAND_MS);
   }
 
   #getShare(view: QuotaView, now: number): TokenShare {
     if (this.#share && now < this.#share.at + SHARE_VALID_MS) return this.#share;
-    const { selfId, dispatcherIds } = view;
-    const others = [...this.#peers].map(([id, { demand }]) => ({
-      id,
-      demand: computeDecayed(demand, now, DEMAND_MS),
-    }));
-    const share = computeTokenShare({
+    const input = {
       accountName: this.name,
-      selfId,
+      selfId: view.selfId,
       ownDemand: this.#getKnownDemand(view, now),
-      others,
-      dispatcherIds,
       hash: this.#hash,
-    });
+    };
+    const share = view.isFollower
+      ? computeFollowerShare(input, this.#findFleetUsage(now), view.daemonCount)
+      : computeTokenShare({
+          ...input,
+          others: this.#peers.listDemands(now),
+          dispatcherIds: view.dispatcherIds,
+        });
     this.#share = { ...share, at: now };
     return share;
   }
--- a/packages/core/src/account-quotas/heard-daemons.ts
+++ b/packages/core/src/account-quotas/heard-daemons.ts
@@ -4,7 +4,11 @@
  * report several times a second, so their silence shows within half a second.
  */
 
-export type HeardReport = { readonly id: string; readonly startId: number; readonly sequence: number };
+export type HeardReport = {
+  readonly id: string;
+  readonly startId: number;
+  readonly sequence: number;
+};
 
 type HeardDaemon = Omit<HeardReport, 'id'> & { readonly heardAt: number };
 
@@ -47,7 +51,7 @@
     return { wasSilent: known !== undefined && this.#isSilent(known, reportIntervalMs, now) };
   }
 
-  /** The part of the dispatchers that is heard, this daemon included, from 0 to 1. */
+  /** The part of the dispatchers that is heard, this daemon included if it is one, from 0 to 1. */
   computeHeardPart(
     selfId: string,
     dispatcherIds: readonly string[],
@@ -60,7 +64,12 @@
       const known = this.#daemons.get(id);
       return known ? this.#isSilent(known, reportIntervalMs, now) : isStarting;
     });
-    return 1 - lost.length / (others.length + 1);
+    const isDispatcher = others.length < dispatcherIds.length;
+    const hasHeardAny = others.some((id) => this.#daemons.has(id));
+    // If all dispatchers are of the version before, daemons like this one do not know each other.
+    const own = isDispatcher || !hasHeardAny ? 1 : 0;
+    const heard = hasHeardAny || isDispatcher ? others.length - lost.length : 0;
+    return (own + heard) / (others.length + own);
   }
 
   /** Drops daemons that have not been heard for long; returns the ids of the others. */
--- a/packages/core/src/account-quotas/index.ts
+++ b/packages/core/src/account-quotas/index.ts
@@ -6,6 +6,6 @@
 export { computeQuotaLimits } from './quota-limits.js';
 export type { QuotaBounds, QuotaLimits } from './quota-limits.js';
 export { RetryTimes } from './retry-times.js';
-export { computeTokenShare, mayGrant } from './token-share.js';
+export { computeFollowerShare, computeTokenShare, mayGrant } from './token-share.js';
 export type { DaemonDemand, TokenShare } from './token-share.js';
-export type { AccountUsage, QuotaVerdict, QuotaView, UsageSender } from './types.js';
+export type { AccountUsage, FleetUsage, QuotaVerdict, QuotaView, UsageSender } from './types.js';
--- a/packages/core/src/account-quotas/token-share.ts
+++ b/packages/core/src/account-quotas/token-share.ts
@@ -12,9 +12,12 @@
  *   of daemons may take one token nevertheless: first those with demand, then other dispatchers, by
  *   rendezvous hashing. Each further one waits for a few more tokens, so that a flood does not make
  *   all of them take one at the same moment.
+ * - A flood through more daemons than may take single tokens. Their shares are rounded up or down by
+ *   chance, drawn once between two reports.
  */
 import type { HashText } from '../runtime/index.js';
 import type { QuotaLimits } from './quota-limits.js';
+import type { FleetUsage } from './types.js';
 
 /** Demand of a daemon for an account, as a decaying count of its requests. */
 export type DaemonDemand = { readonly id: string; readonly demand: number };
@@ -30,8 +33,10 @@
 };
 
 export type TokenShare = {
-  /** Part of the tokens, from 0 to 1. */
+  /** Part of the tokens by recent demand, from 0 to 1. */
   readonly share: number;
+  /** Part of the tokens whatever the demand, from 0 to 1. */
+  readonly equalShare: number;
   /** Position among the daemons that may take a single token; infinite if this one may not. */
   readonly rank: number;
 };
@@ -43,23 +48,22 @@
   readonly unknownToOthers: number;
   readonly limits: QuotaLimits;
   readonly refillPerMs: number;
+  /** Drawn uniformly from 0 to 1 once between two reports. */
+  readonly draw: number;
 };
 
+/** Part of the tokens that is divided by demand. */
+const DEMAND_PART = 0.8;
 /** Part of the tokens that is divided equally among the dispatchers. */
-const EQUAL_PART = 0.2;
+const EQUAL_PART = 0.5;
+/** While tokens are plentiful, so many more daemons may take a single one. */
+const SINGLES_PER_TOKEN = 0.5;
 /** A daemon with less demand than this has had no request for some seconds. */
-export const MIN_DEMAND = 0.05;
+export const MIN_DEMAND = 0.01;
 /** Time in which a taken token is reported to the next daemon in rank. */
 const RANK_STEP_MS = 20;
-
-export function computeTokenShare(input: ShareInput): TokenShare {
-  const { ownDemand, others, dispatcherIds, selfId } = input;
-  const total = others.reduce((sum, { demand }) => sum + demand, ownDemand);
-  const byDemand = total > 0 ? ownDemand / total : 0;
-  const isDispatcher = dispatcherIds.includes(selfId);
-  const equal = isDispatcher ? 1 / dispatcherIds.length : 0;
-  return { share: (1 - EQUAL_PART) * byDemand + EQUAL_PART * equal, rank: computeRank(input) };
-}
+/** Range of hashes of 32 bits. */
+export const HASH_RANGE = 2 ** 32;
 
 function computeRank(input: ShareInput): number {
   const { accountName, selfId, ownDemand, others, dispatcherIds, hash } = input;
@@ -73,13 +77,48 @@
   return active.length + idle.filter((id) => score(id) > own).length;
 }
 
+/** The share of a daemon that knows the demand of all others. */
+export function computeTokenShare(input: ShareInput): TokenShare {
+  const { ownDemand, others, dispatcherIds, selfId } = input;
+  const total = others.reduce((sum, { demand }) => sum + demand, ownDemand);
+  const byDemand = total > 0 ? ownDemand / total : 0;
+  const isDispatcher = dispatcherIds.includes(selfId);
+  return {
+    share: DEMAND_PART * byDemand,
+    equalShare: isDispatcher ? EQUAL_PART / dispatcherIds.length : 0,
+    rank: computeRank(input),
+  };
+}
+
+/**
+ * The share of a daemon that knows the demand of the fleet as a sum only. Its rank is the one that
+ * it is expected to have among the daemons with demand.
+ */
+export function computeFollowerShare(
+  { accountName, selfId, ownDemand, hash }: Omit<ShareInput, 'others' | 'dispatcherIds'>,
+  fleet: FleetUsage | undefined,
+  daemonCount: number,
+): TokenShare {
+  const total = Math.max(ownDemand, fleet?.demand ?? 0);
+  const position = 1 - hash(`${accountName}|${selfId}`) / HASH_RANGE;
+  const active = fleet?.activeDaemons ?? 0;
+  const isActive = ownDemand >= MIN_DEMAND;
+  return {
+    share: total > 0 ? (DEMAND_PART * ownDemand) / total : 0,
+    equalShare: 0,
+    rank: Math.floor(isActive ? position * active : active + position * daemonCount),
+  };
+}
+
 /** Returns whether one more request may be admitted before the next report. */
 export function mayGrant(input: GrantInput): boolean {
-  const { tokens, unknownToOthers, share, rank, limits, refillPerMs } = input;
+  const { tokens, unknownToOthers, share, equalShare, rank, limits, refillPerMs, draw } = input;
   const left = tokens - unknownToOthers;
   if (left < 1) return false;
-  if (unknownToOthers + 1 <= share * Math.min(tokens, limits.maxGranted)) return true;
-  if (unknownToOthers >= 1 || rank >= limits.maxSingleTakers) return false;
+  const mayTakeSingle = rank < limits.maxSingleTakers + SINGLES_PER_TOKEN * tokens;
+  const granted = share * Math.min(tokens, limits.maxGranted) + equalShare * tokens;
+  if (unknownToOthers + 1 <= granted + (mayTakeSingle ? 0 : draw)) return true;
+  if (unknownToOthers >= 1 || !mayTakeSingle) return false;
   const step = Math.min(refillPerMs * RANK_STEP_MS, (limits.capacity - 1) / limits.maxSingleTakers);
   return left >= 1 + rank * step;
 }
--- a/packages/gateway/src/account-usage/serve-within-quota.ts
+++ b/packages/gateway/src/account-usage/serve-within-quota.ts
@@ -4,12 +4,7 @@
  */
 import { createRefusal } from '@baobabline/core';
 
-import type {
-  PlacedRequest,
-  RequestEnd,
-  RoutedRequest,
-  ServedRequest,
-} from '../requests/index.js';
+import type { PlacedRequest, RequestEnd, RoutedRequest, ServedRequest } from '../requests/index.js';
 import type { AccountQuotas } from './account-quotas.js';
 
 type Serve<Served> = (request: RoutedRequest, onEnd: (end: RequestEnd) => void) => Served;
--- a/packages/gateway/src/account-usage/simulated-quota-fleet.ts
+++ b/packages/gateway/src/account-usage/simulated-quota-fleet.ts
@@ -32,15 +32,19 @@
 /** A request that was admitted, in milliseconds of simulated time. */
 export type Admission = { readonly at: number; readonly account: string };
 
+type SimulatedView = {
+  present: readonly number[];
+  dispatchers: readonly { readonly id: string; readonly address: string }[];
+  revision: number;
+};
+
 type SimulatedDaemon = {
   readonly index: number;
   readonly startedAt: number;
   readonly quotas: AccountQuotas;
   readonly shares: RateLimitShares;
   readonly heardAt: Map<number, number>;
-  present: readonly number[];
-  dispatchers: readonly { readonly id: string; readonly address: string }[];
-  revision: number;
+  readonly view: SimulatedView;
 };
 
 function getId(index: number): string {
@@ -121,7 +125,7 @@
   }
 
   /** Cuts directions between daemons. */
-  cut(isCut: (from: number, to: number) => boolean): void {
+  silence(isCut: (from: number, to: number) => boolean): void {
     this.#isCut = isCut;
   }
 
@@ -134,7 +138,7 @@
   }
 
   /** Lets a request arrive at a daemon; undefined if the daemon does not run or keeps no quotas. */
-  submit(index: number, account: ClientAccount): QuotaPermit | undefined {
+  sendRequest(index: number, account: ClientAccount): QuotaPermit | undefined {
     const daemon = this.#daemons.get(index);
     if (!daemon || this.#frozen.has(index) || this.#options.isLegacy?.(index)) return undefined;
     const permit = daemon.quotas.admit(account);
@@ -148,7 +152,7 @@
 
   listDispatchers(): readonly number[] {
     const daemon = [...this.#daemons.values()][0];
-    return daemon?.dispatchers.map(({ address }) => findIndex(address)) ?? [];
+    return daemon?.view.dispatchers.map(({ address }) => findIndex(address)) ?? [];
   }
 
   /** Advances the simulated time; calls back in each millisecond. */
@@ -181,9 +185,9 @@
       clock,
       getWallTime: () => WALL_TIME_MS + this.#now,
       hash: hashText,
-      getRevision: () => getDaemon()?.revision ?? 0,
+      getRevision: () => getDaemon()?.view.revision ?? 0,
       listMembers: () => {
-        const present = new Set(getDaemon()?.present);
+        const present = new Set(getDaemon()?.view.present);
         return [...(getDaemon()?.heardAt.keys() ?? [])].map((one) => ({
           id: getId(one),
           dataCentre: `z${one % DATA_CENTRES}`,
@@ -193,7 +197,7 @@
       },
       listUnknownSeeds: () =>
         [0, 1, 2].filter((one) => !getDaemon()?.heardAt.has(one)).map((one) => getId(one)),
-      listDispatchers: () => getDaemon()?.dispatchers ?? [],
+      listDispatchers: () => getDaemon()?.view.dispatchers ?? [],
       isLeaving: () => false,
     });
     const startedAt = this.#now;
@@ -214,15 +218,17 @@
       selfAddress: getAddress(index),
       startId: WALL_TIME_MS + startedAt,
       bounds: QUOTA_BOUNDS,
-      listDispatcherIds: () => getDaemon()?.dispatchers.map(({ id }) => id) ?? [],
-      isRecipient: () => getDaemon()?.dispatchers.some(({ id }) => id === getId(index)) ?? false,
-      listRecipients: () => getDaemon()?.dispatchers ?? [],
+      listDispatcherIds: () => getDaemon()?.view.dispatchers.map(({ id }) => id) ?? [],
+      isRecipient: () =>
+        getDaemon()?.view.dispatchers.some(({ id }) => id === getId(index)) ?? false,
+      listRecipients: () => getDaemon()?.view.dispatchers ?? [],
       getVisiblePart: () => shares.getLatestVisiblePart(),
       send: (body, addresses) =>
         addresses.forEach((address) => this.#send(index, findIndex(address), body)),
     });
     const heardAt = new Map([[index, this.#now]]);
-    return { index, startedAt, quotas, shares, heardAt, present: [], dispatchers: [], revision: 0 };
+    const view = { present: [], dispatchers: [], revision: 0 };
+    return { index, startedAt, quotas, shares, heardAt, view };
   }
 
   #send(from: number, to: number, body: Buffer): void {
@@ -256,19 +262,21 @@
         .filter(([, at]) => this.#now - at < DETECTION_MS)
         .map(([index]) => index)
         .sort((left, right) => (startOrder.get(left) ?? -1) - (startOrder.get(right) ?? -1));
-      if (present.join() !== daemon.present.join()) this.#setPresent(daemon, present);
+      if (present.join() !== daemon.view.present.join()) this.#setPresent(daemon.view, present);
     });
   }
 
-  #setPresent(daemon: SimulatedDaemon, present: readonly number[]): void {
-    daemon.present = present;
-    daemon.revision += 1;
-    daemon.dispatchers = [0, 1, 2].flatMap((dataCentre) =>
-      present
-        .filter((index) => index % DATA_CENTRES === dataCentre)
-        .slice(0, this.#options.dispatchersPerDataCentre)
-        .map((index) => ({ id: getId(index), address: getAddress(index) })),
-    );
+  #setPresent(view: SimulatedView, present: readonly number[]): void {
+    Object.assign(view, {
+      present,
+      revision: view.revision + 1,
+      dispatchers: [0, 1, 2].flatMap((dataCentre) =>
+        present
+          .filter((index) => index % DATA_CENTRES === dataCentre)
+          .slice(0, this.#options.dispatchersPerDataCentre)
+          .map((index) => ({ id: getId(index), address: getAddress(index) })),
+      ),
+    });
   }
 
   #runTicks(): void {
--- /dev/null
+++ b/packages/gateway/src/account-usage/usage-audience.ts
@@ -0,0 +1,144 @@
+/**
+ * With whom a daemon exchanges the use of accounts, and what part of the fleet it hears.
+ *
+ * Dispatchers and daemons that leave are told of all admissions and count them. Any other daemon
+ * follows what the dispatchers report of the fleet, and is told so only after it has reported itself.
+ * A daemon that begins to be told, or did not run for a while, has to begin anew.
+ */
+import { HeardDaemons } from '@baobabline/core';
+import type { Clock, QuotaView } from '@baobabline/core';
+
+import { RecentReporters } from './recent-reporters.js';
+import type { UsageRecipient } from './recent-reporters.js';
+import type { UsageReport } from './usage-message.js';
+import { computeRegularIntervalMs } from './usage-reports.js';
+
+export type UsageAudiencePorts = {
+  readonly clock: Clock;
+  /** Wall-clock time in milliseconds; it advances while the VM is suspended. */
+  readonly getWallTime: () => number;
+  readonly selfId: string;
+  readonly selfAddress: string;
+  readonly listDispatcherIds: () => readonly string[];
+  /** Whether other daemons report to this one in any case. */
+  readonly isRecipient: () => boolean;
+  /** Daemons that have to know of this one's admissions in any case. */
+  readonly listRecipients: () => readonly UsageRecipient[];
+  /** Part of the fleet that the membership sees, from 0 to 1. */
+  readonly getVisiblePart: () => number;
+};
+
+/** Dispatchers go on reporting to a daemon for somewhat longer after its last report. */
+const TOLD_MS = 28_000;
+/** A longer time between two refreshes means that this daemon did not run. */
+const MAX_REFRESH_GAP_MS = 1000;
+/** Time in which a report reaches another daemon and is applied there. */
+const ARRIVAL_MS = 25;
+
+export class UsageAudience {
+  readonly #ports: UsageAudiencePorts;
+
+  readonly #heard: HeardDaemons;
+
+  readonly #reporters: RecentReporters;
+
+  #visiblePart = 1;
+
+  #wasRecipient = false;
+
+  #reportedAt = Number.NEGATIVE_INFINITY;
+
+  /** Number of daemons to which the dispatchers report. */
+  #dispatcherRecipients = 0;
+
+  #refreshed: { readonly at: number; readonly wallTime: number };
+
+  constructor(ports: UsageAudiencePorts) {
+    this.#ports = ports;
+    const { clock, getWallTime, selfAddress, listRecipients } = ports;
+    this.#refreshed = { at: clock.now(), wallTime: getWallTime() };
+    this.#heard = new HeardDaemons(clock.now());
+    this.#reporters = new RecentReporters(selfAddress, clock, listRecipients);
+  }
+
+  /** Part of the fleet whose use of accounts is known, from 0 to 1. */
+  get visiblePart(): number {
+    return this.#visiblePart;
+  }
+
+  /** The number by which reports are spaced; a follower reports no more often than its dispatchers. */
+  get recipientCount(): number {
+    const own = this.listAddresses().length;
+    return this.#ports.isRecipient() ? own : Math.max(own, this.#dispatcherRecipients);
+  }
+
+  listAddresses(): readonly string[] {
+    return this.#reporters.list();
+  }
+
+  buildView(): QuotaView {
+    const { selfId, listDispatcherIds, isRecipient } = this.#ports;
+    const isFollower = !isRecipient();
+    return {
+      selfId,
+      dispatcherIds: listDispatcherIds(),
+      hasRecipients: this.listAddresses().length > 0,
+      isFollower,
+      daemonCount: this.recipientCount + 1,
+      // A dispatcher's report that is under way may not include what has just arrived there.
+      arrivalMs: isFollower ? 2 * ARRIVAL_MS : ARRIVAL_MS,
+      demandArrivalMs: isFollower ? 2 * ARRIVAL_MS + this.#regularIntervalMs : ARRIVAL_MS,
+    };
+  }
+
+  /** Records a report; undefined if a newer one was heard, else whether it broke a silence. */
+  recordReport(
+    { senderId, startId, sequence, recipientCount }: UsageReport,
+    address: string,
+  ): { readonly wasSilent: boolean } | undefined {
+    const report = { id: senderId, startId, sequence };
+    const now = this.#ports.clock.now();
+    const heard = this.#heard.recordReport(report, this.#regularIntervalMs, now);
+    if (!heard) return undefined;
+    this.#reporters.record(address);
+    this.#dispatcherRecipients = recipientCount;
+    return heard;
+  }
+
+  recordSent(): void {
+    this.#reportedAt = this.#ports.clock.now();
+  }
+
+  /** Brings the visible part up to date; returns whether this daemon has to begin anew. */
+  refresh(isAdmitting: boolean): boolean {
+    const { clock, getWallTime, isRecipient } = this.#ports;
+    const now = clock.now();
+    const wallTime = getWallTime();
+    const gapMs = Math.max(now - this.#refreshed.at, wallTime - this.#refreshed.wallTime);
+    this.#refreshed = { at: now, wallTime };
+    const isTold = now < this.#reportedAt + TOLD_MS;
+    const hasBegun = isRecipient() ? !this.#wasRecipient : isAdmitting && !isTold;
+    this.#wasRecipient = isRecipient();
+    const shouldReset = hasBegun || gapMs > MAX_REFRESH_GAP_MS;
+    if (shouldReset) this.#heard.reset(now);
+    // Until its first report is sent, it begins only once.
+    if (shouldReset) this.#reportedAt = now;
+    this.#visiblePart = Math.min(this.#computeHeardPart(now), this.#ports.getVisiblePart());
+    return shouldReset;
+  }
+
+  /** Drops daemons that were not heard for long; returns the ids of the others. */
+  prune(): ReadonlySet<string> {
+    this.#reporters.prune();
+    return this.#heard.prune(this.#ports.clock.now());
+  }
+
+  get #regularIntervalMs(): number {
+    return computeRegularIntervalMs(this.recipientCount);
+  }
+
+  #computeHeardPart(now: number): number {
+    const { selfId, listDispatcherIds } = this.#ports;
+    return this.#heard.computeHeardPart(selfId, listDispatcherIds(), this.#regularIntervalMs, now);
+  }
+}
--- a/packages/gateway/src/account-usage/usage-message.ts
+++ b/packages/gateway/src/account-usage/usage-message.ts
@@ -6,10 +6,9 @@
   countField,
   counterField,
   dateField,
-  ipAddressField,
   nameField,
 } from '@baobabline/core';
-import type { AccountUsage } from '@baobabline/core';
+import type { AccountUsage, FleetUsage } from '@baobabline/core';
 import * as z from 'zod';
 
 import { formatBody, parseBody } from '../datagrams/index.js';
@@ -29,24 +28,31 @@
   readonly sequence: number;
   /** Whether the sender does not know how many tokens are left. */
   readonly isLearning: boolean;
-  /** Addresses of daemons that reported to the sender and are no dispatchers. */
-  readonly reporters: readonly string[];
+  /** Number of daemons to which the sender reports. */
+  readonly recipientCount: number;
   readonly usages: readonly ReportedUsage[];
 };
 
 /** More rows than fit into a datagram. */
 const MAX_ROWS = 1000;
-/** Demand and tokens are sent in whole tenths. */
+/** Demand, tokens and rates are sent in whole tenths. */
 const UNIT = 10;
 const MAX_TENTHS = 2 ** 40;
 
 const tenthsField = z.int().min(-MAX_TENTHS).max(MAX_TENTHS);
 
+const fleetSchema = z.tuple([
+  tenthsField,
+  tenthsField.nonnegative(),
+  countField,
+  tenthsField.nonnegative(),
+]);
+
 const rowSchema = z.tuple([
   countField,
   counterField,
   tenthsField.nonnegative(),
-  tenthsField.nullable(),
+  fleetSchema.nullable(),
 ]);
 
 const messageSchema = z.tuple([
@@ -55,36 +61,62 @@
   counterField,
   counterField,
   z.boolean(),
-  buildTolerantList(ipAddressField, MAX_ROWS),
+  countField,
   buildTolerantList(rowSchema, MAX_ROWS),
 ]);
 
-function convertToTenths(value: number): number {
-  return Math.max(-MAX_TENTHS, Math.min(MAX_TENTHS, Math.floor(value * UNIT)));
+function formatFleet(fleet: FleetUsage | undefined): z.infer<typeof fleetSchema> | null {
+  if (!fleet) return null;
+  const { tokens, demand, activeDaemons, ratePerSecond } = fleet;
+  return [
+    Math.floor(tokens * UNIT),
+    Math.ceil(demand * UNIT),
+    activeDaemons,
+    Math.round(ratePerSecond * UNIT),
+  ];
+}
+
+function parseFleet(row: z.infer<typeof fleetSchema> | null): FleetUsage | undefined {
+  if (!row) return undefined;
+  const [tokens, demand, activeDaemons, rate] = row;
+  return {
+    tokens: tokens / UNIT,
+    demand: demand / UNIT,
+    activeDaemons,
+    ratePerSecond: rate / UNIT,
+  };
 }
 
 /** Formats a report as the body of a datagram. */
 export function formatUsageReport(report: UsageReport): Buffer {
-  const { senderId, startId, ageMs, sequence, isLearning, reporters, usages } = report;
-  const rows = usages.map(({ account, count, demand, tokens }) => [
+  const { senderId, startId, ageMs, sequence, isLearning, recipientCount, usages } = report;
+  const rows = usages.map(({ account, count, demand, fleet }) => [
     account,
     count,
     Math.ceil(demand * UNIT),
-    tokens === undefined ? null : convertToTenths(tokens),
+    formatFleet(fleet),
+  ]);
+  return formatBody([
+    senderId,
+    startId,
+    Math.round(ageMs),
+    sequence,
+    isLearning,
+    recipientCount,
+    rows,
   ]);
-  return formatBody([senderId, startId, Math.round(ageMs), sequence, isLearning, reporters, rows]);
 }
 
 /** Parses the body of a datagram; undefined if it is not a valid report. */
 export function parseUsageReport(body: Buffer): UsageReport | undefined {
   const parsed = parseBody(body, messageSchema);
   if (!parsed) return undefined;
-  const [senderId, startId, ageMs, sequence, isLearning, reporters, rows] = parsed;
-  const usages = rows.map(([account, count, demand, tokens]) => ({
+  const [senderId, startId, ageMs, sequence, isLearning, recipientCount, rows] = parsed;
+  const usages = rows.map(([account, count, demand, fleet]) => ({
     account,
     count,
     demand: demand / UNIT,
-    tokens: tokens === null ? undefined : tokens / UNIT,
+    fleet: parseFleet(fleet),
   }));
-  return { senderId, startId, ageMs, sequence, isLearning, reporters, usages };
+  return { senderId, startId, ageMs, sequence, isLearning, recipientCount, usages };
 }
--- a/packages/gateway/src/account-usage/usage-reports.ts
+++ b/packages/gateway/src/account-usage/usage-reports.ts
@@ -23,8 +23,8 @@
 const URGENT_INTERVAL_MS = 25;
 const CHANGE_INTERVAL_MS = 100;
 const REGULAR_INTERVAL_MS = 150;
-/** At most 286 datagrams a second if all daemons report urgent changes to all. */
-const URGENT_MS_PER_RECIPIENT = 3.5;
+/** At most 250 datagrams a second if all daemons report urgent changes to all. */
+const URGENT_MS_PER_RECIPIENT = 4;
 /** At most 143 datagrams a second. */
 const MS_PER_RECIPIENT = 7;
 
