Refuse fewer requests of accounts within their quotas

An account at 0.9 of its quota that moved between daemons, or came through ten of them, had up to 3 in 100 requests refused beyond what one bucket for the whole fleet would refuse.

--- a/packages/core/src/account-quotas/account-quota.ts
+++ b/packages/core/src/account-quotas/account-quota.ts
@@ -144,19 +144,22 @@
     this.#markChanged(now);
     const share = this.#getShare(view, now);
     const { refillPerMs } = this.#bucket;
-    const isAdmitted = mayGrant({
+    const grant = {
       tokens: tokens + unknownToOthers,
       unknownToOthers,
       ...share,
       limits: this.#limits,
       refillPerMs,
       draw: this.#hash(`${this.name}|${view.selfId}|${this.#reportCount}`) / HASH_RANGE,
-    });
+    };
+    const isAdmitted = mayGrant(grant);
     if (isAdmitted) this.#addAdmitted(1, now);
-    const isUrgent = isNew || !isAdmitted || tokens < URGENT_PART * this.#limits.capacity;
+    // The next request would have to wait for a report.
+    const isUsedUp = !mayGrant({ ...grant, unknownToOthers: unknownToOthers + 1 });
+    const isClose = tokens < URGENT_PART * this.#limits.capacity;
     const outlook = { tokens, refillPerMs, share: share.share + share.equalShare };
     const retryAfterMs = isAdmitted ? 0 : this.#retryTimes.take(outlook, now);
-    return { isAdmitted, retryAfterMs, isUrgent };
+    return { isAdmitted, retryAfterMs, isUrgent: isNew || isUsedUp || isClose };
   }
 
   /** Returns the token of a request that ended without having run. */
--- a/packages/core/src/account-quotas/token-share.ts
+++ b/packages/core/src/account-quotas/token-share.ts
@@ -115,10 +115,9 @@
   const { tokens, unknownToOthers, share, equalShare, rank, limits, refillPerMs, draw } = input;
   const left = tokens - unknownToOthers;
   if (left < 1) return false;
-  const mayTakeSingle = rank < limits.maxSingleTakers + SINGLES_PER_TOKEN * tokens;
   const granted = share * Math.min(tokens, limits.maxGranted) + equalShare * tokens;
-  if (unknownToOthers + 1 <= granted + (mayTakeSingle ? 0 : draw)) return true;
-  if (unknownToOthers >= 1 || !mayTakeSingle) return false;
   const step = Math.min(refillPerMs * RANK_STEP_MS, (limits.capacity - 1) / limits.maxSingleTakers);
-  return left >= 1 + rank * step;
+  const mayTakeSingle =
+    rank < limits.maxSingleTakers + SINGLES_PER_TOKEN * tokens && left >= 1 + rank * step;
+  return unknownToOthers + 1 <= granted + (mayTakeSingle ? 1 : draw);
 }
