--- a/packages/core/src/account-quotas/account-quota.ts
+++ b/packages/core/src/account-quotas/account-quota.ts
@@ -1,9 +1,6 @@
 /**
  * The quota of one account as one daemon keeps it: decides which requests are admitted, counts what
  * it has admitted itself, and takes in what other daemons report.
- *
- * A report carries cumulative counts, so that the next one makes up for one that was lost. Until a
- * report has certainly arrived, what it says counts as unknown to the others.
  */
 import type { ClientAccount } from '../accounts/index.js';
 import type { BucketRate } from '../limits/index.js';
@@ -11,17 +8,13 @@
 import { addEvents, computeDecayed, NO_EVENTS } from './decaying-count.js';
 import type { DecayingCount } from './decaying-count.js';
 import { FleetBucket } from './fleet-bucket.js';
+import { OwnUsage } from './own-usage.js';
+import { DEMAND_MS, PeerUsages } from './peer-usages.js';
 import { computeQuotaLimits } from './quota-limits.js';
 import type { QuotaBounds, QuotaLimits } from './quota-limits.js';
-import { DEMAND_MS, PeerUsages } from './peer-usages.js';
 import { RetryTimes } from './retry-times.js';
-import {
-  computeFollowerShare,
-  computeTokenShare,
-  HASH_RANGE,
-  mayGrant,
-  MIN_DEMAND,
-} from './token-share.js';
+import type { TokenOutlook } from './retry-times.js';
+import { computeFollowerShare, computeTokenShare, HASH_RANGE, mayGrant } from './token-share.js';
 import type { TokenShare } from './token-share.js';
 import type { AccountUsage, FleetUsage, QuotaVerdict, QuotaView, UsageSender } from './types.js';
 
@@ -32,18 +25,12 @@
   readonly isNew: boolean;
 };
 
-type SentReport = {
-  readonly at: number;
-  readonly count: number;
-  readonly demand: DecayingCount;
-};
-
 /** Time constant of the rate over the fleet. */
 const RATE_MS = 1000;
 /** A daemon that knew nothing adopts what others report for this long. */
 const LEARNING_MS = 1000;
-/** Changes are reported again for this long, in case a report was lost. */
-const REPEAT_MS = 400;
+/** By then a daemon that is no dispatcher has been told how many tokens are left. */
+const FIRST_REPORT_MS = 200;
 /** The share follows the reports, which come no more often than this. */
 const SHARE_VALID_MS = 10;
 /** The others hear soon of an account with less than this part of its tokens. */
@@ -65,30 +52,20 @@
 
   readonly #retryTimes = new RetryTimes();
 
+  readonly #own = new OwnUsage();
+
   readonly #peers = new PeerUsages();
 
   #rate: BucketRate;
 
   #limits: QuotaLimits;
 
-  #count = 0;
-
-  #demand: DecayingCount = NO_EVENTS;
-
   /** Requests admitted over the fleet. */
   #fleetAdmitted: DecayingCount = NO_EVENTS;
 
-  /** Reports of this account that were sent, oldest first; only the first may have arrived. */
-  #sent: readonly SentReport[] = [];
-
-  #reportCount = 0;
-
-  #changedAt = Number.NEGATIVE_INFINITY;
-
-  #isChanged = false;
-
   #learningSince: number;
 
+  /** Whether another daemon has told how many tokens are left. */
   #hasAdopted = false;
 
   #share: (TokenShare & { readonly at: number }) | undefined;
@@ -110,7 +87,7 @@
 
   /** Whether the others have not been told of all changes, or may have missed one. */
   shouldReport(now: number): boolean {
-    return this.#isChanged || now < this.#changedAt + REPEAT_MS;
+    return this.#own.shouldReport(now);
   }
 
   getTokens(now: number): number {
@@ -138,10 +115,9 @@
   /** Admits or refuses a request. */
   admit(view: QuotaView, now: number): QuotaVerdict {
     const tokens = this.#bucket.getTokens(now);
-    const unknownToOthers = this.#countUnknown(view, now);
-    const isNew = this.#getKnownDemand(view, now) < MIN_DEMAND;
-    this.#demand = addEvents(this.#demand, 1, now, DEMAND_MS);
-    this.#markChanged(now);
+    const unknownToOthers = this.#own.countUnknown(view, now);
+    const isNew = !this.#own.isKnownActive(view, now);
+    this.#own.recordRequest(now);
     const share = this.#getShare(view, now);
     const { refillPerMs } = this.#bucket;
     const grant = {
@@ -150,7 +126,7 @@
       ...share,
       limits: this.#limits,
       refillPerMs,
-      draw: this.#hash(`${this.name}|${view.selfId}|${this.#reportCount}`) / HASH_RANGE,
+      draw: this.#hash(`${this.name}|${view.selfId}|${this.#own.reportCount}`) / HASH_RANGE,
     };
     const isAdmitted = mayGrant(grant);
     if (isAdmitted) this.#addAdmitted(1, now);
@@ -158,26 +134,21 @@
     const isUsedUp = !mayGrant({ ...grant, unknownToOthers: unknownToOthers + 1 });
     const isClose = tokens < URGENT_PART * this.#limits.capacity;
     const outlook = { tokens, refillPerMs, share: share.share + share.equalShare };
-    const retryAfterMs = isAdmitted ? 0 : this.#retryTimes.take(outlook, now);
+    const retryAfterMs = isAdmitted ? 0 : this.#chooseRetryMs(view, outlook, now);
     return { isAdmitted, retryAfterMs, isUrgent: isNew || isUsedUp || isClose };
   }
 
   /** Returns the token of a request that ended without having run. */
   release(now: number): void {
     this.#addAdmitted(-1, now);
-    this.#markChanged(now);
   }
 
   /** Returns what is to be reported, and counts it as reported. */
   takeUsage(view: QuotaView, now: number): AccountUsage {
-    this.#isChanged = false;
-    this.#reportCount += 1;
-    const sent = [...this.#sent, { at: now, count: this.#count, demand: this.#demand }];
-    const arrived = sent.findLastIndex(({ at }) => at <= now - view.demandArrivalMs);
-    this.#sent = sent.slice(Math.max(0, arrived));
+    this.#own.recordReport(view, now);
     return {
-      count: this.#count,
-      demand: computeDecayed(this.#demand, now, DEMAND_MS),
+      count: this.#own.count,
+      demand: computeDecayed(this.#own.demand, now, DEMAND_MS),
       fleet: view.isFollower ? undefined : this.#computeFleetUsage(view, now),
     };
   }
@@ -203,7 +174,7 @@
 
   /** Has the account reported soon, as another daemon needs to know of it. */
   scheduleReport(now: number): void {
-    this.#markChanged(now);
+    this.#own.markChanged(now);
   }
 
   /** Drops what is known of daemons that are gone. */
@@ -224,20 +195,20 @@
     return now < this.#learningSince + LEARNING_MS;
   }
 
-  #markChanged(now: number): void {
-    this.#isChanged = true;
-    this.#changedAt = now;
+  #chooseRetryMs(view: QuotaView, outlook: TokenOutlook, now: number): number {
+    if (view.isFollower && !this.#hasAdopted) return FIRST_REPORT_MS;
+    return this.#retryTimes.take(outlook, now);
   }
 
   #addAdmitted(count: number, now: number): void {
-    this.#count = Math.max(0, this.#count + count);
+    this.#own.addAdmitted(count, now);
     this.#fleetAdmitted = addEvents(this.#fleetAdmitted, count, now, RATE_MS);
     this.#bucket.spend(count, now);
   }
 
   /** The tokens that another daemon believes are left do not include own admissions under way. */
   #applyTokens(tokens: number, view: QuotaView, now: number): void {
-    const known = tokens - this.#countUnknown(view, now);
+    const known = tokens - this.#own.countUnknown(view, now);
     const adopted = this.#hasAdopted ? Math.min(known, this.#bucket.getTokens(now)) : known;
     this.#hasAdopted = true;
     this.#bucket.setTokens(adopted, now);
@@ -246,7 +217,9 @@
   /** Sets the tokens to what the dispatchers believe, less own admissions of which they do not know. */
   #follow(view: QuotaView, now: number): void {
     const fleet = this.#findFleetUsage(now);
-    if (fleet) this.#bucket.setTokens(fleet.tokens - this.#countUnknown(view, now), now);
+    if (!fleet) return;
+    this.#hasAdopted = true;
+    this.#bucket.setTokens(fleet.tokens - this.#own.countUnknown(view, now), now);
   }
 
   #findFleetUsage(now: number): FleetUsage | undefined {
@@ -254,7 +227,7 @@
   }
 
   #computeFleetUsage(view: QuotaView, now: number): FleetUsage {
-    const { demand, active } = this.#peers.sumDemand(this.#demand, now);
+    const { demand, active } = this.#peers.sumDemand(this.#own.demand, now);
     return {
       tokens: this.#bucket.getTokens(now),
       demand,
@@ -263,27 +236,13 @@
     };
   }
 
-  #findSent(before: number): SentReport | undefined {
-    return this.#sent.findLast(({ at }) => at <= before);
-  }
-
-  #countUnknown(view: QuotaView, now: number): number {
-    if (!view.hasRecipients) return 0;
-    return Math.max(0, this.#count - (this.#findSent(now - view.arrivalMs)?.count ?? 0));
-  }
-
-  #getKnownDemand(view: QuotaView, now: number): number {
-    const arrived = this.#findSent(now - view.demandArrivalMs)?.demand ?? NO_EVENTS;
-    const demand = view.hasRecipients ? arrived : this.#demand;
-    return computeDecayed(demand, now, DEMAND_MS);
-  }
-
   #getShare(view: QuotaView, now: number): TokenShare {
     if (this.#share && now < this.#share.at + SHARE_VALID_MS) return this.#share;
     const input = {
       accountName: this.name,
       selfId: view.selfId,
-      ownDemand: this.#getKnownDemand(view, now),
+      ownDemand: this.#own.computeKnownDemand(view, now),
+      isActive: this.#own.isKnownActive(view, now),
       hash: this.#hash,
     };
     const share = view.isFollower
--- a/packages/core/src/account-quotas/decaying-count.ts
+++ b/packages/core/src/account-quotas/decaying-count.ts
@@ -9,7 +9,7 @@
   readonly at: number;
 };
 
-export const NO_EVENTS: DecayingCount = { value: 0, at: 0 };
+export const NO_EVENTS: DecayingCount = { value: 0, at: Number.NEGATIVE_INFINITY };
 
 /** Returns the value at a time that is not before `at`. */
 export function computeDecayed(count: DecayingCount, now: number, timeConstantMs: number): number {
--- a/packages/core/src/account-quotas/peer-usages.ts
+++ b/packages/core/src/account-quotas/peer-usages.ts
@@ -3,7 +3,6 @@
  */
 import { computeDecayed } from './decaying-count.js';
 import type { DecayingCount } from './decaying-count.js';
-import { MIN_DEMAND } from './token-share.js';
 import type { DaemonDemand } from './token-share.js';
 import type { AccountUsage, FleetUsage, UsageSender } from './types.js';
 
@@ -13,12 +12,20 @@
   readonly demand: DecayingCount;
   readonly fleet: FleetUsage | undefined;
   readonly heardAt: number;
+  /** When it last reported a request that was not in its report before. */
+  readonly usedAt: number;
 };
 
 /** Time constant of the demand: it follows an account that moves to another daemon. */
 export const DEMAND_MS = 1000;
+/** A request adds one to the demand; less than that is rounding. */
+const NEW_REQUEST_DEMAND = 0.5;
 /** What a dispatcher reported of the fleet counts for this long. */
 const FLEET_USAGE_MS = 2500;
+/** A daemon counts as active for so long after a request. */
+const ACTIVE_MS = 20_000;
+/** It counts itself as active for less, so that no two daemons take the same rank. */
+export const OWN_ACTIVE_MS = 19_000;
 
 export class PeerUsages {
   readonly #peers = new Map<string, PeerUsage>();
@@ -32,8 +39,16 @@
   ): number {
     const { count, demand, fleet } = usage;
     const known = this.#peers.get(id);
-    const decaying = { value: demand, at: now };
-    this.#peers.set(id, { startId, count, demand: decaying, fleet, heardAt: now });
+    const faded = known ? computeDecayed(known.demand, now, DEMAND_MS) : 0;
+    this.#peers.set(id, {
+      startId,
+      count,
+      demand: { value: demand, at: now },
+      fleet,
+      heardAt: now,
+      usedAt:
+        demand > faded + NEW_REQUEST_DEMAND ? now : (known?.usedAt ?? Number.NEGATIVE_INFINITY),
+    });
     if (known?.startId === startId) return count - known.count;
     if (known || startedAt > since.listeningAt) return count;
     // Its earlier requests are in the tokens that were adopted; the latest may not be.
@@ -41,21 +56,20 @@
   }
 
   listDemands(now: number): readonly DaemonDemand[] {
-    return [...this.#peers].map(([id, { demand }]) => ({
+    return [...this.#peers].map(([id, { demand, usedAt }]) => ({
       id,
+      isActive: usedAt > now - ACTIVE_MS,
       demand: computeDecayed(demand, now, DEMAND_MS),
     }));
   }
 
   /** Sums up the demand of the fleet, a daemon's own included. */
   sumDemand(own: DecayingCount, now: number): { readonly demand: number; readonly active: number } {
-    const demands = [
-      computeDecayed(own, now, DEMAND_MS),
-      ...this.listDemands(now).map(({ demand }) => demand),
-    ];
+    const others = this.listDemands(now);
+    const ownDemand = computeDecayed(own, now, DEMAND_MS);
     return {
-      demand: demands.reduce((sum, demand) => sum + demand, 0),
-      active: demands.filter((demand) => demand >= MIN_DEMAND).length,
+      demand: others.reduce((sum, { demand }) => sum + demand, ownDemand),
+      active: others.filter(({ isActive }) => isActive).length + Number(now < own.at + ACTIVE_MS),
     };
   }
 
--- a/packages/core/src/account-quotas/token-share.ts
+++ b/packages/core/src/account-quotas/token-share.ts
@@ -20,13 +20,20 @@
 import type { FleetUsage } from './types.js';
 
 /** Demand of a daemon for an account, as a decaying count of its requests. */
-export type DaemonDemand = { readonly id: string; readonly demand: number };
+export type DaemonDemand = {
+  readonly id: string;
+  readonly demand: number;
+  /** Whether it had a request of the account lately. */
+  readonly isActive: boolean;
+};
 
 export type ShareInput = {
   readonly accountName: string;
   readonly selfId: string;
   /** Own demand that the others must have heard of. */
   readonly ownDemand: number;
+  /** Whether the others must have heard that this daemon had a request lately. */
+  readonly isActive: boolean;
   readonly others: readonly DaemonDemand[];
   readonly dispatcherIds: readonly string[];
   readonly hash: HashText;
@@ -58,19 +65,17 @@
 const EQUAL_PART = 0.5;
 /** While tokens are plentiful, so many more daemons may take a single one. */
 const SINGLES_PER_TOKEN = 0.5;
-/** A daemon with less demand than this has had no request for some seconds. */
-export const MIN_DEMAND = 0.01;
 /** Time in which a taken token is reported to the next daemon in rank. */
 const RANK_STEP_MS = 20;
 /** Range of hashes of 32 bits. */
 export const HASH_RANGE = 2 ** 32;
 
 function computeRank(input: ShareInput): number {
-  const { accountName, selfId, ownDemand, others, dispatcherIds, hash } = input;
+  const { accountName, selfId, isActive, others, dispatcherIds, hash } = input;
   const score = (id: string): number => hash(`${accountName}|${id}`);
   const own = score(selfId);
-  const active = others.filter(({ demand }) => demand >= MIN_DEMAND);
-  if (ownDemand >= MIN_DEMAND) return active.filter(({ id }) => score(id) > own).length;
+  const active = others.filter((other) => other.isActive);
+  if (isActive) return active.filter(({ id }) => score(id) > own).length;
   if (!dispatcherIds.includes(selfId)) return Number.POSITIVE_INFINITY;
   const activeIds = new Set(active.map(({ id }) => id));
   const idle = dispatcherIds.filter((id) => !activeIds.has(id));
@@ -95,18 +100,19 @@
  * it is expected to have among the daemons with demand.
  */
 export function computeFollowerShare(
-  { accountName, selfId, ownDemand, hash }: Omit<ShareInput, 'others' | 'dispatcherIds'>,
+  { accountName, selfId, ownDemand, isActive, hash }: Omit<ShareInput, 'others' | 'dispatcherIds'>,
   fleet: FleetUsage | undefined,
   daemonCount: number,
 ): TokenShare {
   const total = Math.max(ownDemand, fleet?.demand ?? 0);
   const position = 1 - hash(`${accountName}|${selfId}`) / HASH_RANGE;
   const active = fleet?.activeDaemons ?? 0;
-  const isActive = ownDemand >= MIN_DEMAND;
   return {
     share: total > 0 ? (DEMAND_PART * ownDemand) / total : 0,
     equalShare: 0,
-    rank: Math.floor(isActive ? position * active : active + position * daemonCount),
+    rank: Math.floor(
+      isActive ? position * active : active + position * Math.max(0, daemonCount - active),
+    ),
   };
 }
 
--- a/packages/gateway/src/account-usage/simulated-quota-fleet.ts
+++ b/packages/gateway/src/account-usage/simulated-quota-fleet.ts
@@ -13,6 +13,7 @@
 const DATA_CENTRES = 3;
 const TICK_MS = 200;
 const DETECTION_MS = 2000;
+const SETTLED_MS = 3000;
 const MIN_LATENCY_MS = 1;
 const LATENCY_SPREAD_MS = 4;
 const WALL_TIME_MS = 1_700_000_000_000;
@@ -82,6 +83,8 @@
 
   #now = 0;
 
+  #changedAt = 0;
+
   constructor(options: SimulatedQuotaFleetOptions) {
     this.#options = options;
     this.#accounts = options.accounts;
@@ -102,6 +105,7 @@
 
   /** Starts daemons without anything that they knew. */
   startDaemons(indexes: readonly number[]): void {
+    this.#recordChange();
     indexes.forEach((index) => this.killDaemon(index));
     indexes.forEach((index) => this.#daemons.set(index, this.#createDaemon(index)));
     this.#refreshViews();
@@ -109,16 +113,19 @@
   }
 
   killDaemon(index: number): void {
+    this.#recordChange();
     this.#daemons.get(index)?.quotas.stop();
     this.#daemons.delete(index);
     this.#frozen.delete(index);
   }
 
   freezeDaemon(index: number): void {
+    this.#recordChange();
     this.#frozen.set(index, []);
   }
 
   thawDaemon(index: number): void {
+    this.#recordChange();
     const missed = this.#frozen.get(index) ?? [];
     this.#frozen.delete(index);
     missed.forEach((run) => run());
@@ -126,6 +133,7 @@
 
   /** Cuts directions between daemons. */
   silence(isCut: (from: number, to: number) => boolean): void {
+    this.#recordChange();
     this.#isCut = isCut;
   }
 
@@ -146,6 +154,11 @@
     return permit;
   }
 
+  /** Hands a datagram to a daemon; returns whether it was valid. */
+  acceptBody(index: number, body: Buffer): boolean | undefined {
+    return this.#daemons.get(index)?.quotas.accept(body, getAddress(0));
+  }
+
   getFleetRate(index: number, account: string): number {
     return this.#daemons.get(index)?.quotas.getFleetRate(account) ?? 0;
   }
@@ -159,7 +172,8 @@
   advance(forMs: number, onStep: () => void): void {
     Array.from({ length: forMs }).forEach(() => {
       this.#now += 1;
-      if (this.#now % TICK_MS === 0) this.#refreshViews();
+      const isSettled = this.#now > this.#changedAt + SETTLED_MS;
+      if (this.#now % TICK_MS === 0 && !isSettled) this.#refreshViews();
       const events = this.#events.get(this.#now) ?? [];
       this.#events.delete(this.#now);
       events.forEach((run) => run());
@@ -248,6 +262,12 @@
     this.#schedule(deliver, latencyMs);
   }
 
+  /** The views are up to date when something changes; while nothing does, they are left alone. */
+  #recordChange(): void {
+    if (this.#now > this.#changedAt + SETTLED_MS) this.#refreshViews();
+    this.#changedAt = this.#now;
+  }
+
   #refreshViews(): void {
     const running = [...this.#daemons.values()].filter(({ index }) => !this.#frozen.has(index));
     const order = [...running].sort(
