--- a/packages/gateway/src/datagrams/fleet-socket.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.ts
@@ -18,7 +18,8 @@
   | 'rate-limits'
   | 'crash-reports'
   | 'lease-question'
-  | 'lease-answer';
+  | 'lease-answer'
+  | 'account-usage';
 
 const TAGS: readonly DatagramTag[] = [
   'report',
@@ -32,6 +33,7 @@
   'crash-reports',
   'lease-question',
   'lease-answer',
+  'account-usage',
 ];
 
 /** Handles a datagram's body and its sender's address; returns whether the body was valid. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,8 @@
 import type { Server } from 'node:http';
 import { setImmediate as waitForEvents, setTimeout as wait } from 'node:timers/promises';
 
+import { createFleetQuotas, serveWithinQuota } from './account-usage/index.js';
+import type { AccountQuotas } from './account-usage/index.js';
 import { checkKeyAgain } from './caller-keys/index.js';
 import type {
   DirectoryResponse,
@@ -82,6 +84,7 @@
   'crash-reports': 'reports',
   'lease-question': 'records',
   'lease-answer': 'records',
+  'account-usage': 'reports',
 };
 
 export type GatewayPhase = 'joining' | 'serving' | 'leaving' | 'stopped';
@@ -126,6 +129,8 @@
 
   readonly #overloadLog: OverloadLog;
 
+  readonly #quotas: AccountQuotas;
+
   readonly #quarantine: FleetQuarantine;
 
   readonly #linkMonitor: UpstreamLinkMonitor;
@@ -196,6 +201,14 @@
       getVisiblePart: () => this.#rateLimits.getVisiblePart(),
     });
     this.#overloadLog = new OverloadLog(this.#clock, this.#log);
+    this.#quotas = createFleetQuotas({
+      clock: this.#clock,
+      log: this.#log,
+      settings,
+      fleet: this.#fleet,
+      socket: this.#fleetSocket,
+      getVisiblePart: () => this.#rateLimits.getLatestVisiblePart(),
+    });
     this.#quarantine = new FleetQuarantine({
       clock: this.#clock,
       random: this.#random,
@@ -346,6 +359,7 @@
     this.#services.close();
     this.#reports.stop();
     this.#rateLimits.stop();
+    this.#quotas.stop();
     this.#quarantine.stop();
     this.#linkMonitor.stop();
     this.#keyLease.stop();
@@ -376,6 +390,7 @@
     this.#rateLimits.runTick();
     this.#retrySlack.runTick();
     this.#overloadLog.runTick(this.#services.listDesks());
+    this.#quotas.runTick();
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
     this.#keyLease.runTick();
@@ -406,6 +421,8 @@
         isDispatcher: () => this.#fleet.isDispatcher,
         getKeyLeaseAgeMs: () => this.#keyLease.ageMs,
         isCutOff: () => this.#linkMonitor.isCutOff,
+        getAccountsOverQuota: () => this.#quotas.overQuotaCount,
+        getQuotaVisiblePart: () => this.#quotas.visiblePart,
         listTraffic: () => this.#traffic.list(),
         describeDownloads: () => this.#downloads.describe(),
       },
@@ -439,6 +456,7 @@
         const accounts = this.#keyLease.findAccounts(this.#services.routes);
         return accounts && checkKeyAgain(caller, accounts, this.#keyLease.validity);
       },
+      getFleetRate: (accountName) => this.#quotas.getFleetRate(accountName) || undefined,
       getDownloads: () => (this.#downloads.isActive ? this.#downloads : undefined),
       onBytes: (purpose, dataCentre, bytes) => {
         if (purpose === 'requests') this.#downloads.recordSent(bytes);
@@ -580,11 +598,14 @@
 
   #serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
     this.#advertisedLoad.recordArrival();
-    return this.#services.serve(request, (end) => {
+    const handleEnd = (end: RequestEnd): void => {
       if (end.kind === 'answered') this.#downloads.recordAnswered(request, end.answer.bodyBytes);
       this.#recorder.recordEnd(request, end);
       onEnd(end);
-    });
+    };
+    return serveWithinQuota(this.#quotas, request, handleEnd, (admitted, onAdmittedEnd) =>
+      this.#services.serve(admitted, onAdmittedEnd),
+    );
   }
 
   #createPeerServer(): Server {
@@ -634,6 +655,7 @@
     const { version, limits } = routes.configuration;
     this.#callerServer.applyLimits(limits);
     this.#downloads.applyConfiguration(routes.configuration);
+    this.#quotas.setAccounts(routes.configuration.accounts ?? []);
     this.#log.info('configuration', { version, routes: routes.configuration.routes.length });
   }
 
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -10,4 +10,10 @@
 export { ServiceScheduler } from './service-scheduler.js';
 export type { ServiceSchedulerDependencies, JudgedAnswer } from './service-scheduler.js';
 export { UpstreamState } from './upstream-state.js';
-export type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
+export type {
+  PlacedRequest,
+  RequestEnd,
+  RequestStep,
+  RoutedRequest,
+  ServedRequest,
+} from './types.js';
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -20,7 +20,7 @@
 import type { WaitEnds } from './service-queue.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
-import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
+import type { PlacedRequest, RequestEnd, RequestStep, RoutedRequest } from './types.js';
 
 const SERVER_ERROR_STATUS = 500;
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
@@ -30,7 +30,7 @@
 /** Statuses of an upstream that shed the request, if the answer also states that it did not run. */
 const SHED_STATUSES: readonly number[] = [429, 503];
 
-export class RequestRun implements ServedRequest {
+export class RequestRun implements PlacedRequest {
   readonly #request: RoutedRequest;
 
   readonly #scheduler: ServiceScheduler;
@@ -91,6 +91,10 @@
     return this.#attempts.length > 0;
   }
 
+  get hasBeenSent(): boolean {
+    return this.#sentCount > 0;
+  }
+
   /** Cancels the request because the caller disconnected, and aborts its attempts. */
   cancel(): void {
     if (this.#isDone) return;
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -38,10 +38,10 @@
   CrashGuard,
   DownloadControl,
   JudgedAnswer,
+  PlacedRequest,
   RequestEnd,
   RequestStep,
   RoutedRequest,
-  ServedRequest,
 } from '../requests/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import { UpstreamPool } from '../upstreams/index.js';
@@ -181,7 +181,7 @@
     return hasNewRoutes;
   }
 
-  serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): ServedRequest {
+  serve(request: RoutedRequest, onEnd: (end: RequestEnd) => void): PlacedRequest {
     const desk = this.#getDesk(request.service);
     if (request.caller) this.#accountParts.recordArrival(request.caller.account.name);
     const run = new RequestRun(
