Give a process that starts an equal part of the retry slack again

Cause: with a small part from the start, a small fleet of new processes had no retry for the first requests that an upstream shed; two tests of the platform failed for it (503 instead of 200).

Change: a process has an equal part of the whole slack for its first 13 s; of the rest 0.8 belongs to the dispatchers and 0.075 to all, so that an eighth of the daemons may start within a window.

--- a/packages/core/src/retries/retry-slack-shares.ts
+++ b/packages/core/src/retries/retry-slack-shares.ts
@@ -6,15 +6,16 @@
  * may exist leaves nearly all of the slack unused.
  *
  * Most of the slack is divided among the dispatchers in proportion to their capacity, by which
- * callers are distributed over them too. The rest is divided among all daemons that may exist, for
- * requests that reach a daemon before or after it is a dispatcher. What keeps the sum of all shares
- * at the slack:
+ * callers are distributed over them too. A small part is divided among all daemons that may exist,
+ * for requests that reach a daemon before or after it is a dispatcher. A process that has just
+ * started takes an equal part of the whole slack. What keeps the sum of all shares at the slack:
  * - The slack counts within a window, so that a daemon which loses its share may have used it up
  *   just before. A share therefore falls at once, and rises only after this daemon's view has called
  *   for it for a whole window and the time in which a change reaches every daemon.
  * - A daemon that has just started or was suspended has no share of a dispatcher for the same time.
  * - A daemon that is cut off from others uses only the part of the fleet that it sees.
- * - The equal part counts twice, for a daemon that starts again within the window.
+ * - The rest is left for processes that start: an eighth of the daemons may do so within a window. If
+ *   all start together, only those that then receive requests use their parts.
  */
 import type { Clock } from '../runtime/index.js';
 
@@ -40,9 +41,9 @@
 };
 
 /** Part of the slack that is divided among the dispatchers. */
-const DISPATCHERS_PART = 0.9;
-/** Processes of one daemon that may run within a window: the present one and one before it. */
-const PROCESSES_PER_WINDOW = 2;
+const DISPATCHERS_PART = 0.8;
+/** Part of the slack that is divided among all daemons; what is left covers those that start. */
+const COMMON_PART = 0.075;
 /** Covers the time in which a change of the dispatchers reaches every daemon. */
 const SETTLE_MS = 3000;
 
@@ -57,10 +58,15 @@
   /** Views that still count, oldest first. */
   #views: readonly View[];
 
+  /** Until then this daemon cannot have the share of a dispatcher. */
+  readonly #startingUntil: number;
+
   constructor(selfId: string, ports: RetrySlackSharesPorts) {
     this.#selfId = selfId;
     this.#ports = ports;
-    this.#views = [{ since: ports.clock.now(), share: 0 }];
+    const now = ports.clock.now();
+    this.#views = [{ since: now, share: 0 }];
+    this.#startingUntil = now + ports.windowMs + SETTLE_MS;
   }
 
   /** Returns the part of the slack that this daemon may use within a window, from 0 to 1. */
@@ -83,7 +89,9 @@
   }
 
   #computeEqualPart(): number {
-    return (1 - DISPATCHERS_PART) / PROCESSES_PER_WINDOW / this.#ports.countDaemons();
+    const { clock, countDaemons } = this.#ports;
+    const part = clock.now() < this.#startingUntil ? 1 : COMMON_PART;
+    return part / countDaemons();
   }
 
   #computeDispatcherShare(): number {
