--- a/packages/core/src/retries/retry-slack-shares.ts
+++ b/packages/core/src/retries/retry-slack-shares.ts
@@ -66,7 +66,7 @@
     this.#ports = ports;
     const now = ports.clock.now();
     this.#views = [{ since: now, share: 0 }];
-    this.#startingUntil = now + ports.windowMs + SETTLE_MS;
+    this.#startingUntil = now + ports.windowMs + 2 * SETTLE_MS;
   }
 
   /** Returns the part of the slack that this daemon may use within a window, from 0 to 1. */
