Leave retries of a scarce budget to accounts within their share

While retries are scarce, a request of an account over its share leaves a quarter of the budget to the others, and waits after them.

--- a/packages/core/src/retries/retry-wait-list.ts
+++ b/packages/core/src/retries/retry-wait-list.ts
@@ -25,7 +25,11 @@
 const CALLER_WAIT_SHARE = 1 / 3;
 
 function compareClaims(left: RetryClaim, right: RetryClaim): number {
-  return left.shedCount - right.shedCount || left.priority - right.priority;
+  return (
+    Number(left.isOverShare ?? false) - Number(right.isOverShare ?? false) ||
+    left.shedCount - right.shedCount ||
+    left.priority - right.priority
+  );
 }
 
 export class RetryWaitList<Entry extends WaitingRetry> {
--- a/packages/core/src/retries/sliding-window-retry-budget.test.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.test.ts
@@ -98,4 +98,24 @@
     Array.from({ length: 10 }, () => budget.recordRequest());
     expect(budget.takeRetry()).to.equal(true);
   });
+
+  it('keeps a part for urgent kinds, for requests shed once, and for accounts within their share', () => {
+    const budget = new SlidingWindowRetryBudget(
+      { windowMs: 1000, ratio: 1, fleetSlack: 0, getSlackShare: () => 1 },
+      { now: () => 0 },
+    );
+    [0, 1].forEach((priority) => Array.from({ length: 50 }, () => budget.recordRequest(priority)));
+    const first = { priority: 0, shedCount: 1 };
+    const claims = [
+      { ...first, priority: 1, shedCount: 2 },
+      { ...first, priority: 1 },
+      { ...first, isOverShare: true },
+      first,
+    ];
+    const taken = claims.map(
+      (claim) => Array.from({ length: 100 }, () => budget.takeRetry(claim)).filter(Boolean).length,
+    );
+    // Of 90 retries; each claim comes when the one before it gets no more.
+    expect(taken).to.deep.equal([22, 23, 22, 23]);
+  });
 });
--- a/packages/core/src/retries/sliding-window-retry-budget.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.ts
@@ -8,7 +8,7 @@
  * restarts.
  *
  * While retries are scarce, a request leaves a part of the budget to the requests of more urgent
- * kinds, and one that was shed twice leaves a part to those that were shed once.
+ * kinds, and one that was shed twice, or whose account is over its share, leaves a part to the others.
  */
 import type { Clock } from '../runtime/index.js';
 
@@ -28,6 +28,8 @@
   readonly priority: number;
   /** Number of times that upstreams have shed the request. */
   readonly shedCount: number;
+  /** Whether its client account has got more than its share of the service. */
+  readonly isOverShare?: boolean;
 };
 
 /** Number of buckets that count the events of one window. */
@@ -40,6 +42,8 @@
 const OFTEN_SHED_COUNT = 2;
 /** Part of the budget that they leave. */
 const OFTEN_SHED_RESERVE = 0.25;
+/** Part of the budget that requests of accounts over their share leave to the others. */
+const OVER_SHARE_RESERVE = 0.25;
 /** No request leaves more than this part of the budget to others. */
 const MAX_RESERVE = 0.75;
 /** Fewer retries than this within two buckets do not show that the budget runs down. */
@@ -167,14 +171,16 @@
   }
 
   /** The part of the budget that a request leaves: to more urgent kinds as many of them arrive. */
-  #computeReserve(buckets: readonly Bucket[], { priority, shedCount }: RetryClaim): number {
+  #computeReserve(buckets: readonly Bucket[], claim: RetryClaim): number {
+    const { priority, shedCount, isOverShare } = claim;
     const total = sumRequests(buckets);
     const urgent = buckets
       .flatMap(({ byPriority }) => [...byPriority])
       .reduce((sum, [other, count]) => (other < priority ? sum + count : sum), 0);
     const forUrgent = total === 0 ? 0 : urgent / total;
-    const forOthers = shedCount >= OFTEN_SHED_COUNT ? OFTEN_SHED_RESERVE : 0;
-    return Math.min(MAX_RESERVE, forUrgent + forOthers);
+    const forLessShed = shedCount >= OFTEN_SHED_COUNT ? OFTEN_SHED_RESERVE : 0;
+    const forOtherAccounts = isOverShare ? OVER_SHARE_RESERVE : 0;
+    return Math.min(MAX_RESERVE, forUrgent + forLessShed + forOtherAccounts);
   }
 
   #computeBucketIndex(): number {
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -394,7 +394,8 @@
   }
 
   get #claim(): RetryClaim {
-    return { priority: this.#request.priority, shedCount: this.#shedCount };
+    const isOverShare = this.#scheduler.queue.isOverShare(this.#request);
+    return { priority: this.#request.priority, shedCount: this.#shedCount, isOverShare };
   }
 
   #tryAgain(): void {
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -226,9 +226,14 @@
    * Places the requests that wait; returns whether a new one may be placed without waiting. One of an
    * account over its share may not while others wait, since slots are kept free for them for a while.
    */
-  mayPlaceAtOnce({ caller }: RoutedRequest): boolean {
+  mayPlaceAtOnce(request: RoutedRequest): boolean {
     this.serve();
-    return this.#requests.size === 0 || !this.#judge.isOverShare(caller?.account.name);
+    return this.#requests.size === 0 || !this.isOverShare(request);
+  }
+
+  /** Whether the account of a request has got more than its share of the service. */
+  isOverShare({ caller }: RoutedRequest): boolean {
+    return this.#judge.isOverShare(caller?.account.name);
   }
 
   #serveNext(round: Round): void {
