--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -5,7 +5,7 @@
 export { computeRequestFingerprint } from './request-fingerprint.js';
 export { listOnwardHeaders } from './request-head.js';
 export { RequestRun } from './request-run.js';
-export type { ServiceOverload } from './service-queue.js';
+export type { ServiceOverload } from './service-queue-types.js';
 export { ServiceScheduler } from './service-scheduler.js';
 export type { ServiceSchedulerDependencies, JudgedAnswer } from './service-scheduler.js';
 export { UpstreamState } from './upstream-state.js';
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -17,7 +17,7 @@
 import { buildQueueEntry } from './queue-entry.js';
 import type { QueueEntry } from './queue-entry.js';
 import type { Attempt, RequestRunDependencies } from './request-run-types.js';
-import type { WaitEnds } from './service-queue.js';
+import type { WaitEnds } from './service-queue-types.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
--- /dev/null
+++ b/packages/gateway/src/requests/service-queue-types.ts
@@ -0,0 +1,48 @@
+/**
+ * The requests that wait at a service's queue, and what the queue depends on.
+ */
+import type {
+  Clock,
+  QueuedRequest,
+  RandomSource,
+  RefusalReason,
+  SlidingWindowRetryBudgetSettings,
+  WaitingRetry,
+} from '@baobabline/core';
+
+/** What a queued request does when its wait ends. */
+export type WaitEnds = {
+  /** Called when the latest time at which it may be sent has passed. */
+  readonly onExpired: () => void;
+  /** Called when it could only be sent too late. */
+  readonly onHopeless: (reason: RefusalReason, retryAfterMs: number) => void;
+};
+
+/** A queued request, with callbacks that place or refuse it. */
+export type QueuedPlacement = QueuedRequest &
+  WaitEnds & {
+    /** Whether it may run more than once. */
+    readonly isRepeatable: boolean;
+    /** Tries to place the request; returns whether it can leave the queue. */
+    readonly tryPlace: () => boolean;
+  };
+
+/** A request that waits for the retry budget. */
+export type QueuedRetry = WaitingRetry & WaitEnds & { readonly onGranted: () => void };
+
+export type ServiceOverload = {
+  readonly refused: ReadonlyMap<RefusalReason, number>;
+  readonly accountsOverShare: readonly string[];
+};
+
+export type ServiceQueuePorts = {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly allowance: SlidingWindowRetryBudgetSettings;
+  /** Counts the slots that this daemon may use, given the mean time of an attempt. */
+  readonly countSlots: (now: number, meanAttemptMs: number) => number;
+  /** Counts the slots of the service that may be used, by this daemon and others. */
+  readonly countAllSlots: () => number;
+  /** Returns this daemon's part of an account's requests; undefined if it is unknown. */
+  readonly findOwnPart: (accountName: string) => number | undefined;
+};
--- a/packages/gateway/src/requests/service-queue.test.ts
+++ b/packages/gateway/src/requests/service-queue.test.ts
@@ -7,7 +7,7 @@
 import { buildQueueEntry } from './queue-entry.js';
 import { buildRoutedRequest } from './request-fixtures.js';
 import { ServiceQueue } from './service-queue.js';
-import type { QueuedPlacement } from './service-queue.js';
+import type { QueuedPlacement } from './service-queue-types.js';
 import type { RoutedRequest } from './types.js';
 
 const WINDOW_MS = 1000;
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -11,56 +11,21 @@
   WaitJudge,
 } from '@baobabline/core';
 import type {
-  Clock,
   QueuedRequest,
   QueueState,
-  RandomSource,
   RefusalReason,
   RetryClaim,
-  SlidingWindowRetryBudgetSettings,
-  WaitingRetry,
   WaitVerdict,
 } from '@baobabline/core';
 
+import type {
+  QueuedPlacement,
+  QueuedRetry,
+  ServiceOverload,
+  ServiceQueuePorts,
+} from './service-queue-types.js';
 import type { RoutedRequest } from './types.js';
 
-/** What a queued request does when its wait ends. */
-export type WaitEnds = {
-  /** Called when the latest time at which it may be sent has passed. */
-  readonly onExpired: () => void;
-  /** Called when it could only be sent too late. */
-  readonly onHopeless: (reason: RefusalReason, retryAfterMs: number) => void;
-};
-
-/** A queued request, with callbacks that place or refuse it. */
-export type QueuedPlacement = QueuedRequest &
-  WaitEnds & {
-    /** Whether it may run more than once. */
-    readonly isRepeatable: boolean;
-    /** Tries to place the request; returns whether it can leave the queue. */
-    readonly tryPlace: () => boolean;
-  };
-
-/** A request that waits for the retry budget. */
-export type QueuedRetry = WaitingRetry & WaitEnds & { readonly onGranted: () => void };
-
-export type ServiceOverload = {
-  readonly refused: ReadonlyMap<RefusalReason, number>;
-  readonly accountsOverShare: readonly string[];
-};
-
-export type ServiceQueuePorts = {
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly allowance: SlidingWindowRetryBudgetSettings;
-  /** Counts the slots that this daemon may use, given the mean time of an attempt. */
-  readonly countSlots: (now: number, meanAttemptMs: number) => number;
-  /** Counts the slots of the service that may be used, by this daemon and others. */
-  readonly countAllSlots: () => number;
-  /** Returns this daemon's part of an account's requests; undefined if it is unknown. */
-  readonly findOwnPart: (accountName: string) => number | undefined;
-};
-
 /** Test requests leave this share of the retry budget to requests that fail unexpectedly. */
 const MIN_BUDGET_SHARE_FOR_TESTS = 0.5;
 /** Hedges leave this share of the retry budget to requests that fail. */
@@ -81,6 +46,7 @@
 const NEWEST_WEIGHT = 0.05;
 /** After so many retries that found no slot, all others of their kind are skipped until the next event. */
 const MAX_BLOCKED_RETRIES = 4;
+
 /** One round of placing requests, and those that found no slot in it. */
 type Round = {
   readonly servesYielding: boolean;
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -20,7 +20,7 @@
 import type { ServiceMetrics, UpstreamCondition } from '../metrics/index.js';
 import type { PeerLoads } from './peer-loads.js';
 import { ServiceQueue } from './service-queue.js';
-import type { ServiceOverload } from './service-queue.js';
+import type { ServiceOverload } from './service-queue-types.js';
 import type { UpstreamState } from './upstream-state.js';
 
 export type ServiceSchedulerDependencies = {
