Decide when a request pays to leave its data centre

Cause: choose-upstream.ts weighs a far upstream by a constant, so that all requests without a free near slot leave at once, also between data centres that are both nearly full.

Change: core/far-placement compares the expected value of the near and the far answer with the cost of bytes and of the slot, bounds the change of the share that leaves, and gives each dispatcher its part of what a far data centre can spare. Not used yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from './dispatchers/index.js';
 export * from './ejection/index.js';
 export * from './entry-points/index.js';
+export * from './far-placement/index.js';
 export * from './idempotency-keys/index.js';
 export * from './replication/index.js';
 export * from './limits/index.js';
