--- a/packages/core/src/far-placement/data-centre-rows.ts
+++ b/packages/core/src/far-placement/data-centre-rows.ts
@@ -3,6 +3,7 @@
  * what it may use of each far data centre at what cost. Computed once for each view.
  */
 import { FleetLoads } from './fleet-loads.js';
+import type { DataCentreLoad } from './fleet-loads.js';
 import { SpareCapacity } from './spare-capacity.js';
 import type { DataCentreSlots, LoadNews, ServiceView } from './types.js';
 
@@ -13,6 +14,8 @@
   /** Most requests that this dispatcher may have in flight there. */
   readonly quota: number;
   readonly isOpen: boolean;
+  /** This dispatcher's part of all its slots, by the requests in flight. */
+  readonly sharedSlots: number;
   /** Cost of a request that goes there, without that of its bytes. */
   readonly cost: number;
   readonly isCold: boolean;
@@ -35,6 +38,11 @@
 /** A data centre counts as cold if more than this share of its slots is. */
 const COLD_SHARE = 0.5;
 
+/** Computes a dispatcher's part of slots by its part of the requests in flight. */
+function computeShared(slots: number, own: number, { native, foreign }: DataCentreLoad): number {
+  return slots * Math.min(1, Math.max(1, own) / Math.max(1, native + foreign));
+}
+
 export class DataCentreRows {
   readonly #dataCentre: string;
 
@@ -89,10 +97,9 @@
     this.#loads.expire(view.at);
     this.#sentSinceView = new Map();
     const near = view.dataCentres.find(({ dataCentre }) => dataCentre === this.#dataCentre);
-    const { native, foreign } = this.#loads.describe(this.#dataCentre, view, view.at);
-    const ownShare = Math.max(1, near?.ownInFlight ?? 0) / Math.max(1, native + foreign);
+    const load = this.#loads.describe(this.#dataCentre, view, view.at);
     this.#near = {
-      slots: (near?.slots ?? 0) * Math.min(1, ownShare),
+      slots: computeShared(near?.slots ?? 0, near?.ownInFlight ?? 0, load),
       isCold: (near?.coldShare ?? 0) > COLD_SHARE,
     };
     this.#far = view.dataCentres
@@ -114,6 +121,7 @@
       ownInFlight,
       quota,
       isOpen,
+      sharedSlots: computeShared(slots, ownInFlight, load),
       isCold: coldShare > COLD_SHARE,
       cost: BASE_COST + slotCost + UNKNOWN_LOAD_COST * (1 - load.confidence),
     };
--- a/packages/core/src/far-placement/far-placement.ts
+++ b/packages/core/src/far-placement/far-placement.ts
@@ -87,12 +87,15 @@
     this.#rows.recordSent(dataCentre);
   }
 
-  /** Counts the slots for this dispatcher's queue: near ones, and its part of open far ones. */
+  /**
+   * Counts the slots for this dispatcher's queue: near ones and its quotas of open far ones or, without
+   * near ones, its part of all far ones.
+   */
   countSlots(view: ServiceView): number {
-    this.#rows.refresh(view);
-    return this.#rows.far
-      .filter(({ isOpen }) => isOpen)
-      .reduce((sum, { quota }) => sum + quota, this.#rows.near.slots);
+    this.#refresh(view);
+    const { far, near } = this.#rows;
+    if (!this.#hasNearSlots) return far.reduce((sum, { sharedSlots }) => sum + sharedSlots, 0);
+    return far.filter(({ isOpen }) => isOpen).reduce((sum, { quota }) => sum + quota, near.slots);
   }
 
   /** Creates the decision about one request, given the queue of its service. */
--- a/packages/core/src/far-placement/far-share.ts
+++ b/packages/core/src/far-placement/far-share.ts
@@ -14,6 +14,11 @@
 const START_GAIN = 0.04;
 /** Net gain at which the share rises up to its maximum. */
 const FULL_GAIN = 0.2;
+/**
+ * What one request called for holds for this long, against requests that need not leave: with a queue
+ * at its limit, some arrivals find it just below.
+ */
+const HOLD_MS = 300;
 /** Credit that can be saved up, in requests. */
 const MAX_CREDIT = 3;
 /** Time after which a pause counts no further, so that the share does not jump after it. */
@@ -29,6 +34,8 @@
 
   #updatedAt: number;
 
+  #held = { at: Number.NEGATIVE_INFINITY, wanted: 0 };
+
   constructor(maxShare: number, now: number) {
     this.#maxShare = maxShare;
     this.#updatedAt = now;
@@ -58,7 +65,9 @@
     const hasStarted = this.#share > 0;
     const isWanted = netGain > (hasStarted ? 0 : START_GAIN);
     const wanted = isWanted ? Math.min(1, netGain / FULL_GAIN) * this.#maxShare : 0;
-    const change = wanted - this.#share;
+    const hasHeld = now - this.#held.at < HOLD_MS && this.#held.wanted > wanted;
+    if (!hasHeld) this.#held = { at: now, wanted };
+    const change = this.#held.wanted - this.#share;
     this.#share += Math.min(
       MAX_RISE_PER_SECOND * seconds,
       Math.max(-MAX_FALL_PER_SECOND * seconds, change),
--- a/packages/core/src/far-placement/simulated-data-centres.ts
+++ b/packages/core/src/far-placement/simulated-data-centres.ts
@@ -20,7 +20,8 @@
   readonly dataCentre: string;
   /** How many times longer than usual an attempt takes that starts now; infinite if it is down. */
   readonly computeSlowness: (now: number) => number;
-  readonly coldUntil?: number;
+  /** When it is started anew and is cold for some seconds. */
+  readonly startedAt?: number;
 };
 
 export type SimulationSettings = {
@@ -80,8 +81,14 @@
 const REPEATABLE_SHARE = 0.3;
 const VIEW_MAX_AGE_MS = 20;
 const COLD_FACTOR = 3;
+const COLD_MS = 3000;
 const MS_PER_SECOND = 1000;
 
+function computeWarmUpMs(startedAt: number | undefined, now: number): number {
+  if (startedAt === undefined || now < startedAt) return 0;
+  return Math.max(0, startedAt + COLD_MS - now);
+}
+
 export class SimulatedDataCentres {
   readonly #settings: SimulationSettings;
 
@@ -266,7 +273,7 @@
     const { trust } = dispatcher;
     return this.#settings.upstreams
       .filter(({ id }) => !tried.has(id) && (dispatcher.pausedUntil.get(id) ?? 0) <= now)
-      .map(({ id, dataCentre, coldUntil = 0 }) => ({
+      .map(({ id, dataCentre, startedAt }) => ({
         id,
         dataCentre,
         slots: this.#settings.slotsPerUpstream,
@@ -277,7 +284,7 @@
           dataCentre === dispatcher.dataCentre &&
           trust.isSuspect(id, now) &&
           trust.isTestDue(id, now),
-        warmUpMs: Math.max(0, coldUntil - now),
+        warmUpMs: computeWarmUpMs(startedAt, now),
       }));
   }
 
@@ -288,7 +295,7 @@
     const rows = dataCentres.map((dataCentre) => {
       const local = upstreams.filter((one) => one.dataCentre === dataCentre);
       const trusted = local.filter(({ id }) => !dispatcher.trust.isSuspect(id, this.#now));
-      const cold = trusted.filter(({ coldUntil = 0 }) => coldUntil > this.#now);
+      const cold = trusted.filter((one) => computeWarmUpMs(one.startedAt, this.#now) > 0);
       return {
         dataCentre,
         slots: trusted.length * slotsPerUpstream,
@@ -308,7 +315,7 @@
     upstream: SimulatedUpstream,
   ): void {
     const { attemptMs, slotsPerUpstream } = this.#settings;
-    const { id, coldUntil = 0 } = upstream;
+    const { id, startedAt } = upstream;
     request.tried.add(id);
     request.attempts += 1;
     const occupied = this.#occupancy.get(id) ?? 0;
@@ -321,13 +328,15 @@
       return;
     }
     if (slowness === Infinity) {
+      // A connection that cannot be opened is no attempt, as nothing was sent.
+      request.attempts -= 1;
       dispatcher.trust.record({ upstreamId: id, isGood: false, at: this.#now });
       this.#retry(dispatcher, request);
       return;
     }
     this.#occupancy.set(id, occupied + 1);
     dispatcher.recordOwn(id, 1);
-    const cold = coldUntil > this.#now ? COLD_FACTOR : 1;
+    const cold = computeWarmUpMs(startedAt, this.#now) > 0 ? COLD_FACTOR : 1;
     const farMs = upstream.dataCentre === dispatcher.dataCentre ? 0 : 2 * FAR_DELAY_MS;
     const elapsed = attemptMs * (0.7 + 0.6 * this.#random.next()) * slowness * cold + farMs;
     const attempt = {
