Let the gateway decide per request what leaves its data centre

Cause: the decision of core/far-placement was not carried out.

Change: the settings object farPlacement switches it on; without it the choice of upstreams is the one before. Metrics count requests and bytes by reason, a log line far-share tells of clear changes of the share.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -405,6 +405,9 @@
         const { routes } = this.#services;
         return routes && checkKeyAgain(caller, routes, UNBOUNDED_KEY_VALIDITY);
       },
+      findDataCentre: (daemonId) => this.#fleet.membership.members.get(daemonId)?.dataCentre,
+      onFarTraffic: (traffic) => this.#metrics.recordFarTraffic(traffic),
+      onFarShare: (service, share) => this.#log.info('far-share', { service, share }),
       onBytes: (purpose, dataCentre, bytes) =>
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes),
     });
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -4,7 +4,7 @@
  */
 import type { RequestPhase } from '../edge/index.js';
 import type { ExceptionOrigin } from '../exceptions/index.js';
-import type { RequestEnd, RequestStep, RoutedRequest } from '../requests/index.js';
+import type { FarTraffic, RequestEnd, RequestStep, RoutedRequest } from '../requests/index.js';
 import type { EndVerdict } from '../upstream-ends/index.js';
 import type { MetricsSource, MetricsRegistry } from './metrics-registry.js';
 
@@ -93,6 +93,14 @@
     this.#record(({ cutRequests }) => cutRequests.inc({ phase }));
   }
 
+  /** Records what is sent to, or received from, another data centre. */
+  recordFarTraffic({ service, reason, requests, bytes }: FarTraffic): void {
+    this.#record(({ farRequests, farBytes }) => {
+      farRequests.inc({ service, reason }, requests);
+      farBytes.inc({ service, reason }, bytes);
+    });
+  }
+
   /** Records that a record was refused or replaced because of the era in which it was read. */
   recordConflict(outcome: 'refused' | 'replaced'): void {
     this.#record(({ recordConflicts }) => recordConflicts.inc({ outcome }));
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -84,6 +84,18 @@
     ['phase'],
   );
 
+  readonly farRequests = this.#createCounter(
+    'baobabline_far_requests_total',
+    'Requests sent to upstreams of other data centres, by why it was worth it',
+    ['service', 'reason'],
+  );
+
+  readonly farBytes = this.#createCounter(
+    'baobabline_far_bytes_total',
+    'Bytes of requests to upstreams of other data centres and of their answers, by why it was worth it',
+    ['service', 'reason'],
+  );
+
   readonly recordConflicts = this.#createCounter(
     'baobabline_record_conflicts_total',
     'Records refused as older than the known one of their key, or replaced in spite of a higher revision',
--- a/packages/gateway/src/requests/index.ts
+++ b/packages/gateway/src/requests/index.ts
@@ -1,4 +1,6 @@
 export { AttemptTimes } from './attempt-times.js';
+export { FarRouting } from './far-routing.js';
+export type { FarTraffic } from './far-routing.js';
 export { LeavingStarts } from './leaving-starts.js';
 export { PeerLoads } from './peer-loads.js';
 export type { CrashGuard, LostRequest } from './crash-guard.js';
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -6,7 +6,8 @@
 import { createRefusal, drawRetryAfterMs, isRepeatableKind, MAX_TIMER_MS } from '@baobabline/core';
 import type {
   Clock,
-  PlacementChoice,
+  FarChoice,
+  FarReason,
   RandomSource,
   RequestError,
   QueuedRequest,
@@ -41,6 +42,8 @@
   readonly state: UpstreamState;
   readonly startedAt: number;
   readonly isHedge: boolean;
+  /** Why it left its data centre, where that is decided for each request. */
+  readonly farReason: FarReason | undefined;
   connection: UpstreamConnection | undefined;
   overdueTimer: NodeJS.Timeout | undefined;
 };
@@ -149,6 +152,11 @@
     return this.#request.endAt - this.#now;
   }
 
+  get #targetLeft(): number {
+    const { arrivedAt, route } = this.#request;
+    return arrivedAt + route.targetLatencyMs - this.#now;
+  }
+
   get #canTryAgain(): boolean {
     return this.#tried.size + 1 < this.#request.route.maxAttempts;
   }
@@ -171,6 +179,8 @@
       isRepeatable: this.#isRepeatable,
       canTryAgain: this.#canTryAgain,
       timeLeftMs: this.#timeLeft,
+      targetLeftMs: this.#targetLeft,
+      routeId: this.#request.route.id,
       bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
@@ -230,7 +240,7 @@
     };
   }
 
-  #launch({ upstreamId, reason }: PlacementChoice, isHedge: boolean): void {
+  #launch({ upstreamId, reason, farReason }: FarChoice, isHedge: boolean): void {
     const state = this.#scheduler.find(upstreamId);
     if (!state) return;
     this.#ticket = undefined;
@@ -242,6 +252,7 @@
       upstreamId,
       state,
       isHedge,
+      farReason,
       startedAt: this.#now,
       connection: undefined,
       overdueTimer: this.#startOverdueTimer(upstreamId),
@@ -253,11 +264,14 @@
       dataCentre: state.record.dataCentre,
       reason,
       attempt: this.#sentCount,
+      ...(farReason && { farReason }),
       ...this.#scheduler.describeRateLimit(state),
     });
     const head = this.#buildHead(upstreamId);
     const { dataCentre } = state.record;
-    this.#dependencies.onBytes('requests', dataCentre, head.length + this.#request.bodyBytes);
+    const bytes = head.length + this.#request.bodyBytes;
+    this.#dependencies.onBytes('requests', dataCentre, bytes);
+    this.#scheduler.far?.recordSent(dataCentre, farReason, bytes);
     attempt.connection = state.pool.send(
       {
         requestId: this.#request.id,
@@ -309,6 +323,8 @@
       isRepeatable: true,
       canTryAgain: false,
       timeLeftMs: this.#timeLeft,
+      targetLeftMs: this.#targetLeft,
+      routeId: this.#request.route.id,
       bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
@@ -332,7 +348,7 @@
   }
 
   #handleAnswer(
-    { upstreamId, state, startedAt }: Attempt,
+    { upstreamId, state, startedAt, farReason }: Attempt,
     answer: UpstreamAnswer,
     isClosing: boolean,
     elapsedMs: number,
@@ -351,6 +367,7 @@
       this.#dependencies.crashGuard.recordSuccess(this.#request.fingerprint);
     }
     this.#scheduler.recordAnswer(upstreamId, isGood, isGood ? startedAt : this.#now);
+    this.#recordFarAnswer(state, answer.bodyBytes, elapsedMs, farReason, isGood);
     if (isGood) {
       this.#dependencies.times.record(this.#request.route.id, elapsedMs);
       this.#scheduler.recordAttemptTime(elapsedMs);
@@ -364,6 +381,17 @@
     this.#tryAgainOrFail(this.#isRepeatable);
   }
 
+  #recordFarAnswer(
+    { record: { dataCentre } }: UpstreamState,
+    bytes: number,
+    elapsedMs: number,
+    farReason: FarReason | undefined,
+    isGood: boolean,
+  ): void {
+    const answer = { routeId: this.#request.route.id, dataCentre, elapsedMs, bytes };
+    this.#scheduler.far?.recordAnswer(answer, farReason, isGood);
+  }
+
   #handleNotRun(state: UpstreamState, status: number): void {
     if (SHED_STATUSES.includes(status)) state.recordShed(this.#now);
     else state.recordLeaving();
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -12,8 +12,9 @@
 } from '@baobabline/core';
 import type {
   Clock,
+  FarChoice,
+  FarQueue,
   PlacementCandidate,
-  PlacementChoice,
   RandomSource,
   RateLimitChange,
   RateLimitStatement,
@@ -28,6 +29,7 @@
 } from '@baobabline/core';
 
 import type { ServiceMetrics, UpstreamCondition } from '../metrics/index.js';
+import type { FarRouting } from './far-routing.js';
 import type { PeerLoads } from './peer-loads.js';
 import type { UpstreamState } from './upstream-state.js';
 
@@ -56,6 +58,8 @@
   readonly getRateLimitShare: (upstreamId: string) => number;
   /** Called when an upstream states another rate limit than before, or none any more. */
   readonly onRateLimitChange: (upstreamId: string, change: RateLimitChange) => void;
+  /** Decides about other data centres where the settings switch it on. */
+  readonly far?: FarRouting | undefined;
 };
 
 /** The outcome of an answer, and how it changed the failure estimate of its upstream. */
@@ -80,6 +84,9 @@
   readonly canTryAgain: boolean;
   /** Time left until the deadline of the request, in milliseconds. */
   readonly timeLeftMs: number;
+  /** Time left until the target latency is exceeded, in milliseconds; negative afterwards. */
+  readonly targetLeftMs: number;
+  readonly routeId: string;
   readonly bodyBytes: number;
   readonly excluded: ReadonlySet<string>;
 };
@@ -128,6 +135,10 @@
     this.#arrivals = new ArrivalRate(ports.clock);
   }
 
+  get far(): FarRouting | undefined {
+    return this.#dependencies.far;
+  }
+
   get waitingCount(): number {
     return this.#queue.size;
   }
@@ -169,6 +180,7 @@
   recordArrival(): void {
     this.allowance.recordRequest();
     this.#arrivals.recordArrival();
+    this.far?.recordArrival();
   }
 
   /** Summarizes the state of the service for metrics. */
@@ -191,25 +203,29 @@
   }
 
   /** Chooses an upstream that has a free slot now. */
-  choose(needs: PlacementNeeds): PlacementChoice | undefined {
+  choose(needs: PlacementNeeds): FarChoice | undefined {
     const { clock, dataCentre, random, trust } = this.#dependencies;
     const now = clock.now();
-    const choice = chooseNearFirst(
-      {
-        ...needs,
-        mayTest: this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_TESTS,
-        computeMaxFailureProbability: () =>
-          computeMaxFailureProbability(this.#computeQueueState(this.#queue.size), needs.timeLeftMs),
-        dataCentre,
-      },
-      this.#listCandidates(needs, now, true),
-      () => this.#listCandidates(needs, now, false),
-      random,
-    );
+    const request = {
+      ...needs,
+      mayTest: this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_TESTS,
+      computeMaxFailureProbability: () =>
+        computeMaxFailureProbability(this.#computeQueueState(this.#queue.size), needs.timeLeftMs),
+      dataCentre,
+    };
+    const near = this.#listCandidates(needs, now, true);
+    const listAll = (): readonly PlacementCandidate[] => this.#listCandidates(needs, now, false);
+    const choice = this.far
+      ? this.far.choose(request, needs, near, listAll, this.#describeQueue(), this.listUpstreams())
+      : chooseNearFirst(request, near, listAll, random);
     if (choice?.reason === 'test') trust.recordTest(choice.upstreamId, now);
     return choice;
   }
 
+  #describeQueue(): FarQueue {
+    return { waiting: this.#queue.size, arrivalsPerMs: this.#arrivals.getPerMs() };
+  }
+
   /** Whether any upstream could ever take the request. */
   hasUsable(excluded: ReadonlySet<string>): boolean {
     const { links, isCutOff, clock } = this.#dependencies;
@@ -296,6 +312,7 @@
   /** Closes connections that have been idle for long, and probes failed links. */
   runTick(): void {
     this.#upstreams.forEach(({ pool }) => pool.runTick());
+    this.far?.runTick();
     this.#probeLinks();
   }
 
@@ -439,6 +456,7 @@
    * an upstream with a rate limit, only as many slots count as the permitted rate keeps busy.
    */
   #computeRoom(now: number): number {
+    if (this.far) return this.far.countSlots(this.listUpstreams());
     const { trust, links } = this.#dependencies;
     const states = this.#listUsable(new Set());
     const trusted = states.filter(
@@ -454,6 +472,11 @@
     return sharedSlots + limitedSlots;
   }
 
+  /** Slots of an upstream; of one with a rate limit, as many as the permitted rate keeps busy. */
+  countSlots(state: UpstreamState): number {
+    return state.rateLimit.isLimited ? this.#countLimitedSlots(state) : state.record.slots;
+  }
+
   /** Slots that the permitted rate of a limited upstream keeps busy; 0 without a limit. */
   #countLimitedSlots({ rateLimit, record }: UpstreamState): number {
     if (!rateLimit.isLimited) return 0;
--- a/packages/gateway/src/services/routed-services.ts
+++ b/packages/gateway/src/services/routed-services.ts
@@ -26,6 +26,7 @@
 import type { DispatcherReport } from '../reports/index.js';
 import {
   AttemptTimes,
+  FarRouting,
   LeavingStarts,
   PeerLoads,
   RequestRun,
@@ -34,6 +35,7 @@
 } from '../requests/index.js';
 import type {
   CrashGuard,
+  FarTraffic,
   JudgedAnswer,
   RequestEnd,
   RequestStep,
@@ -80,6 +82,11 @@
   readonly onLoadChange: () => void;
   /** Returns why a request may no longer be sent to an upstream. */
   readonly checkCaller: (request: RoutedRequest) => RequestError | undefined;
+  /** The data centre of another daemon, if it is known. */
+  readonly findDataCentre: (daemonId: string) => string | undefined;
+  /** Called with what is sent to other data centres where that is decided for each request. */
+  readonly onFarTraffic: (traffic: FarTraffic) => void;
+  readonly onFarShare: (service: string, share: number) => void;
   /** Called with the bytes of a request or an answer, and the upstream's data centre. */
   readonly onBytes: (kind: 'requests' | 'answers', dataCentre: string, bytes: number) => void;
 };
@@ -186,7 +193,7 @@
   /** Takes in what another dispatcher has reported. */
   applyReport({ reporterId, inFlight, outcomes }: DispatcherReport): void {
     const now = this.#ports.clock.now();
-    if (inFlight) this.#peerLoads.record(reporterId, inFlight);
+    if (inFlight) this.#recordLoad(reporterId, inFlight);
     outcomes.forEach(({ upstream, isGood, ageMs }) => {
       const upstreamId = this.#reportNames.get(upstream);
       if (upstreamId !== undefined) this.#applyOutcome(upstreamId, isGood, now - ageMs);
@@ -219,6 +226,17 @@
     this.#desks.forEach((desk) => desk.applyRecords([]));
   }
 
+  #recordLoad(reporterId: string, inFlight: readonly (readonly [number, number])[]): void {
+    this.#peerLoads.record(reporterId, inFlight);
+    const { settings, findDataCentre } = this.#ports;
+    const dataCentre = settings.farPlacement && findDataCentre(reporterId);
+    if (dataCentre === undefined) return;
+    const reported = new Map(inFlight);
+    this.#desks.forEach((desk) =>
+      desk.far?.recordReport(reporterId, dataCentre, reported, desk.listUpstreams()),
+    );
+  }
+
   #findUpstream(id: string): UpstreamState | undefined {
     return this.listDesks()
       .map((desk) => desk.find(id))
@@ -271,11 +289,31 @@
       onLinkChange: this.#ports.onLinkChange,
       getRateLimitShare: this.#ports.getRateLimitShare,
       onRateLimitChange: (id, change) => this.#ports.onRateLimitChange(id, change, 'answer'),
+      far: this.#createFarRouting(name),
     });
     this.#desks.set(name, desk);
     return desk;
   }
 
+  #createFarRouting(service: string): FarRouting | undefined {
+    const { clock, random, settings, hasDispatcher, onFarTraffic, onFarShare } = this.#ports;
+    const { dataCentre, farPlacement } = settings;
+    if (!farPlacement) return undefined;
+    return new FarRouting({
+      clock,
+      random,
+      service,
+      dataCentre,
+      settings: farPlacement,
+      trust: this.#trust,
+      links: this.#links,
+      hasDispatcher,
+      countSlots: (state) => this.#getDesk(service).countSlots(state),
+      onTraffic: onFarTraffic,
+      onShareChange: onFarShare,
+    });
+  }
+
   #createUpstream(record: RegisteredUpstream): UpstreamState {
     const { clock, dialect, heldBytes } = this.#ports;
     const pool = new UpstreamPool({
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -4,6 +4,7 @@
  */
 import {
   checkShape,
+  DEFAULT_FAR_PLACEMENT_SETTINGS,
   formatFault,
   ipAddressField,
   listenPortField,
@@ -47,6 +48,15 @@
   memoryMegabytes: z.number().positive().optional(),
 });
 
+const farPlacementSchema = z.strictObject({
+  /** Cost of a megabyte sent to or from another data centre, in answers in time. */
+  costPerMegabyte: z.number().min(0).default(DEFAULT_FAR_PLACEMENT_SETTINGS.costPerMegabyte),
+  /** Largest share of a dispatcher's requests to a service that may leave the data centre. */
+  maxShare: z.number().min(0).max(1).default(DEFAULT_FAR_PLACEMENT_SETTINGS.maxShare),
+  /** Routes with answers of this size leave only if the request would be refused otherwise. */
+  largeAnswerBytes: z.number().positive().default(DEFAULT_FAR_PLACEMENT_SETTINGS.largeAnswerBytes),
+});
+
 export const gatewaySettingsSchema = z.strictObject({
   id: nameField,
   dataCentre: nameField,
@@ -65,6 +75,11 @@
   seeds: z.array(endpointSchema).default([]),
   bounds: boundsSchema.prefault({}),
   machine: machineSchema.prefault({}),
+  /**
+   * Decides for each request whether it pays to send it to another data centre. If absent, a far
+   * upstream has a fixed cost.
+   */
+  farPlacement: farPlacementSchema.optional(),
   /** Minimum number of dispatchers per data centre; more are used as load requires. */
   dispatchersPerDataCentre: z.int().min(1).default(1),
   /** How long callers may cache a directory response, in seconds. */
