Add baobabline check-config

Cause: operators learned of entries without effect, and of limits that contradict each other, from callers; daemons accept both without a word.

Change: the command decodes a configuration with the daemons' decoder, lists errors, dead entries, contradictions and what differs from the one in force, as text or JSON, with exit codes for scripts.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -12,6 +12,8 @@
 
 const EXIT_FAILED = 1;
 const EXIT_REFUSED = 2;
+/** As in the gateway's settings. */
+const DEFAULT_QUOTA_WINDOW_SECONDS = 5;
 
 const OPERATOR_OPTIONS = {
   operator: {
@@ -61,6 +63,25 @@
           .option('out', { type: 'string', describe: 'write the values to publish here' }),
       async ({ file, kind, out }) => run(runCheckLists({ file, kind, out })),
     )
+    .command(
+      'check-config <file>',
+      "Check a configuration of the platform; exit code 1 with findings, 2 if it can't be read",
+      (command) =>
+        command
+          .positional('file', { type: 'string', demandOption: true })
+          .option('in-force', { type: 'string', describe: 'compare with this configuration' })
+          .option('quota-window', {
+            type: 'number',
+            default: DEFAULT_QUOTA_WINDOW_SECONDS,
+            describe: 'span for which the quotas of accounts count, in seconds',
+          })
+          .option('json', OPERATOR_OPTIONS.json),
+      async ({ file, inForce, quotaWindow, json }) => {
+        // Loads the platform's adapter and the gateway, which no other command needs.
+        const { runCheckConfig } = await import('./commands/check-config.js');
+        await run(runCheckConfig({ file, inForce, quotaWindow, json }));
+      },
+    )
     .command('status', 'Show what a daemon sees', OPERATOR_OPTIONS, async (args) =>
       run(runStatus(args)),
     )
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './accounts/index.js';
+export * from './configuration-review/index.js';
 export * from './crash-quarantine/index.js';
 export * from './documents/index.js';
 export * from './detection/index.js';
