Use more of what other data centres can spare

Cause: at a load of 0.95 in waves the decision refused 2 to 7 % although others had slots: its reserves and the forecast of their own load were too large, and parts went to data centres that did not need them.

Change: a reserve of 2 % (or a quarter of the root), the trend over half an attempt, parts by demand above 0.95 of the own slots and mostly by use, and 1.5 times the quota for a request that would be refused.

--- a/packages/core/src/far-placement/data-centre-rows.ts
+++ b/packages/core/src/far-placement/data-centre-rows.ts
@@ -35,6 +35,8 @@
 const SLOT_COST_POWER = 4;
 /** Cost of a far data centre whose load is unknown. */
 const UNKNOWN_LOAD_COST = 0.2;
+/** A request that would be refused may use this many times the quota. */
+const REFUSED_QUOTA_FACTOR = 1.5;
 /** A data centre counts as cold if more than this share of its slots is. */
 const COLD_SHARE = 0.5;
 
@@ -84,10 +86,14 @@
     this.#sentSinceView.set(dataCentre, (this.#sentSinceView.get(dataCentre) ?? 0) + 1);
   }
 
-  /** Whether one more request may go to an open data centre; rounded, so that small parts are used. */
-  hasQuota({ dataCentre, isOpen, ownInFlight, quota }: FarRow): boolean {
+  /**
+   * Whether one more request may go to an open data centre; rounded, so that small parts are used. One
+   * that would be refused may exceed the quota somewhat: others use less than their parts.
+   */
+  hasQuota({ dataCentre, isOpen, ownInFlight, quota }: FarRow, isRefused: boolean): boolean {
+    const limit = isRefused ? quota * REFUSED_QUOTA_FACTOR + 1 : quota;
     const inFlight = ownInFlight + (this.#sentSinceView.get(dataCentre) ?? 0);
-    return isOpen && Math.round(quota) > inFlight;
+    return isOpen && Math.round(limit) > inFlight;
   }
 
   /** Takes in a view, unless it is known already. */
@@ -113,7 +119,7 @@
     const part = this.#loads.computePart(dataCentre, view);
     const own = { inFlight: ownInFlight, part };
     const spare = this.#getSpare(dataCentre);
-    const horizonMs = this.#getHorizonMs(dataCentre);
+    const horizonMs = this.#getHorizonMs(dataCentre) / 2;
     const { quota, isOpen, utilization } = spare.refresh(slots, load, own, horizonMs, view.at);
     const slotCost = FULL_SLOT_COST * utilization ** SLOT_COST_POWER;
     return {
--- a/packages/core/src/far-placement/far-placement.ts
+++ b/packages/core/src/far-placement/far-placement.ts
@@ -135,7 +135,9 @@
     const answer = this.#computeNear(request, near, queue);
     const offers = this.#listOffers(request, answer);
     this.#refreshShare(offers, view.at);
-    const open = offers.map(({ row }) => row).filter((row) => this.#rows.hasQuota(row));
+    const open = offers
+      .map(({ row }) => row)
+      .filter((row) => this.#rows.hasQuota(row, answer.isRefused));
     if (open.length === 0 || !this.#share.hasCredit) return undefined;
     return {
       open: new Set(open.map(({ dataCentre }) => dataCentre)),
@@ -147,7 +149,7 @@
   /** Without a near upstream all requests leave, to data centres with spare slots if there are any. */
   #judgeWithoutNear(): FarVerdict {
     const { far } = this.#rows;
-    const spare = far.filter((row) => this.#rows.hasQuota(row));
+    const spare = far.filter((row) => this.#rows.hasQuota(row, false));
     const rows = spare.length > 0 ? spare : far;
     return {
       open: new Set(rows.map(({ dataCentre }) => dataCentre)),
--- a/packages/core/src/far-placement/fleet-loads.ts
+++ b/packages/core/src/far-placement/fleet-loads.ts
@@ -29,9 +29,9 @@
 /** News that is older is forgotten: its dispatcher has stopped or handles no more callers. */
 const MAX_NEWS_AGE_MS = 10_000;
 /** Demand, as a share of a data centre's own slots, from which it may need others. */
-const DEMAND_WITHOUT_NEED = 0.85;
+const DEMAND_WITHOUT_NEED = 0.95;
 /** Weight of a data centre without need, so that a sudden need finds some room. */
-const MIN_NEED = 0.05;
+const MIN_NEED = 0.02;
 
 function sumValues(values: Iterable<number>): number {
   return [...values].reduce((sum, value) => sum + value, 0);
--- a/packages/core/src/far-placement/spare-capacity.ts
+++ b/packages/core/src/far-placement/spare-capacity.ts
@@ -13,8 +13,8 @@
 const FAST_MS = 300;
 const SLOW_MS = 1500;
 /** Kept free for fluctuations: a share of the slots, or of the root of their number if that is more. */
-const RESERVE_SHARE = 0.06;
-const RESERVE_ROOT_SHARE = 0.5;
+const RESERVE_SHARE = 0.02;
+const RESERVE_ROOT_SHARE = 0.25;
 /** Free slots, in reserves, below which a data centre is closed, and from which it opens again. */
 const CLOSE_BELOW = 0.5;
 const OPEN_FROM = 1.5;
@@ -28,7 +28,7 @@
 /** Quotas are computed anew this often: as often as news of the other takers arrives. */
 const QUOTA_MAX_AGE_MS = 300;
 /** Weight of the fixed parts in a quota, against that of what is left over. */
-const FIXED_PART_WEIGHT = 0.5;
+const FIXED_PART_WEIGHT = 0.2;
 
 export type SpareSlots = {
   /** Most requests that this dispatcher may have in flight there. */
