--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './account-quotas/index.js';
 export * from './accounts/index.js';
+export * from './configuration-review/index.js';
 export * from './crash-quarantine/index.js';
 export * from './documents/index.js';
 export * from './detection/index.js';
@@ -7,6 +8,7 @@
 export * from './downloads/index.js';
 export * from './ejection/index.js';
 export * from './entry-points/index.js';
+export * from './far-placement/index.js';
 export * from './idempotency-keys/index.js';
 export * from './key-lease/index.js';
 export * from './replication/index.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -462,6 +462,9 @@
         if (purpose === 'requests') this.#downloads.recordSent(bytes);
         this.#traffic.record(purpose, dataCentre === this.#settings.dataCentre, bytes);
       },
+      findDataCentre: (daemonId) => this.#fleet.membership.members.get(daemonId)?.dataCentre,
+      onFarTraffic: (traffic) => this.#metrics.recordFarTraffic(traffic),
+      onFarShare: (service, share) => this.#log.info('far-share', { service, share }),
     });
   }
 
--- a/packages/gateway/src/requests/request-run-types.ts
+++ b/packages/gateway/src/requests/request-run-types.ts
@@ -1,7 +1,7 @@
 /**
  * What the run of a request depends on, and its attempts.
  */
-import type { Clock, RandomSource, RequestError } from '@baobabline/core';
+import type { Clock, FarReason, RandomSource, RequestError } from '@baobabline/core';
 
 import type { HttpDialect } from '../dialect/index.js';
 import type { UpstreamConnection } from '../upstreams/index.js';
@@ -34,6 +34,8 @@
   readonly state: UpstreamState;
   readonly startedAt: number;
   readonly isHedge: boolean;
+  /** Why it left its data centre, where that is decided for each request. */
+  readonly farReason: FarReason | undefined;
   /** Ends what is reserved for the answer. */
   readonly endReservation: (() => void) | undefined;
   connection: UpstreamConnection | undefined;
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -10,7 +10,13 @@
   isRepeatableKind,
   MAX_TIMER_MS,
 } from '@baobabline/core';
-import type { PlacementChoice, RefusalReason, RequestError, RetryClaim } from '@baobabline/core';
+import type {
+  FarChoice,
+  FarReason,
+  RefusalReason,
+  RequestError,
+  RetryClaim,
+} from '@baobabline/core';
 
 import type { ExchangeEnd, UpstreamAnswer } from '../upstreams/index.js';
 import { buildRequestHead } from './request-head.js';
@@ -77,6 +83,7 @@
 
   start(): void {
     this.#scheduler.queue.recordArrival(this.#request);
+    this.#scheduler.far?.recordArrival();
     if (this.#timeLeft <= 0) {
       this.#fail('noCapacity');
       return;
@@ -129,6 +136,11 @@
     return this.#dependencies.times.getMeanMs(this.#request.route.id);
   }
 
+  get #targetLeft(): number {
+    const { arrivedAt, route } = this.#request;
+    return arrivedAt + route.targetLatencyMs - this.#now;
+  }
+
   get #canTryAgain(): boolean {
     return this.#tried.size + 1 < this.#request.route.maxAttempts;
   }
@@ -152,6 +164,8 @@
       isRepeatable: this.#isRepeatable,
       canTryAgain: this.#canTryAgain,
       timeLeftMs: this.#timeLeft,
+      targetLeftMs: this.#targetLeft,
+      routeId: this.#request.route.id,
       bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
@@ -225,7 +239,7 @@
     return buildQueueEntry(this.#request, usualAttemptMs, this.#tried.size > 0);
   }
 
-  #launch({ upstreamId, reason }: PlacementChoice, isHedge: boolean): void {
+  #launch({ upstreamId, reason, farReason }: FarChoice, isHedge: boolean): void {
     const state = this.#scheduler.find(upstreamId);
     if (!state) return;
     this.#ticket = undefined;
@@ -240,6 +254,7 @@
       state,
       isHedge,
       endReservation: reservation?.end,
+      farReason,
       startedAt: this.#now,
       connection: undefined,
       overdueTimer: this.#startOverdueTimer(upstreamId),
@@ -251,11 +266,14 @@
       dataCentre: state.record.dataCentre,
       reason,
       attempt: this.#sentCount,
+      ...(farReason && { farReason }),
       ...this.#scheduler.describeRateLimit(state),
     });
     const head = this.#buildHead(upstreamId);
     const { dataCentre } = state.record;
-    this.#dependencies.onBytes('requests', dataCentre, head.length + this.#request.bodyBytes);
+    const bytes = head.length + this.#request.bodyBytes;
+    this.#dependencies.onBytes('requests', dataCentre, bytes);
+    this.#scheduler.far?.recordSent(dataCentre, farReason, bytes);
     attempt.connection = state.pool.send(
       {
         requestId: this.#request.id,
@@ -307,6 +325,8 @@
       isRepeatable: true,
       canTryAgain: false,
       timeLeftMs: this.#timeLeft,
+      targetLeftMs: this.#targetLeft,
+      routeId: this.#request.route.id,
       bodyBytes: this.#request.bodyBytes,
       excluded: this.#tried,
     });
@@ -331,7 +351,7 @@
   }
 
   #handleAnswer(
-    { upstreamId, state, startedAt }: Attempt,
+    { upstreamId, state, startedAt, farReason }: Attempt,
     answer: UpstreamAnswer,
     isClosing: boolean,
     elapsedMs: number,
@@ -350,6 +370,7 @@
       this.#dependencies.crashGuard.recordSuccess(this.#request.fingerprint);
     }
     this.#scheduler.recordAnswer(upstreamId, isGood, isGood ? startedAt : this.#now);
+    this.#recordFarAnswer(state, answer.bodyBytes, elapsedMs, farReason, isGood);
     if (isGood) {
       this.#dependencies.times.record(this.#request.route.id, elapsedMs);
       this.#scheduler.queue.recordAttemptTime(elapsedMs);
@@ -364,6 +385,17 @@
     this.#tryAgainOrFail(this.#isRepeatable);
   }
 
+  #recordFarAnswer(
+    { record: { dataCentre } }: UpstreamState,
+    bytes: number,
+    elapsedMs: number,
+    farReason: FarReason | undefined,
+    isGood: boolean,
+  ): void {
+    const answer = { routeId: this.#request.route.id, dataCentre, elapsedMs, bytes };
+    this.#scheduler.far?.recordAnswer(answer, farReason, isGood);
+  }
+
   #handleNotRun(state: UpstreamState, status: number): void {
     if (SHED_STATUSES.includes(status)) this.#recordShed(state);
     else state.recordLeaving();
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -11,6 +11,7 @@
   WaitJudge,
 } from '@baobabline/core';
 import type {
+  FarQueue,
   QueuedRequest,
   QueueState,
   RefusalReason,
@@ -106,6 +107,16 @@
     return { refused, accountsOverShare: this.#judge.listOverShare() };
   }
 
+  /** What waits, and what arrives. */
+  get load(): FarQueue {
+    return { waiting: this.#requests.size, arrivalsPerMs: this.#arrivals.getPerMs() };
+  }
+
+  /** Mean time that an attempt occupies a slot, in milliseconds. */
+  get meanAttemptMs(): number {
+    return this.#meanAttemptMs;
+  }
+
   /** Whether the retry budget has room for a test that fails. */
   get mayTest(): boolean {
     const { allowance } = this;
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -5,8 +5,8 @@
 import { chooseNearFirst, mayHoldBody, ShedPauses } from '@baobabline/core';
 import type {
   Clock,
+  FarChoice,
   PlacementCandidate,
-  PlacementChoice,
   RandomSource,
   RateLimitChange,
   RateLimitStatement,
@@ -18,6 +18,7 @@
 } from '@baobabline/core';
 
 import type { ServiceMetrics, UpstreamCondition } from '../metrics/index.js';
+import type { FarRouting } from './far-routing.js';
 import type { PeerLoads } from './peer-loads.js';
 import { ServiceQueue } from './service-queue.js';
 import type { ServiceOverload } from './service-queue-types.js';
@@ -52,6 +53,8 @@
   readonly getRateLimitShare: (upstreamId: string) => number;
   /** Called when an upstream states another rate limit than before, or none any more. */
   readonly onRateLimitChange: (upstreamId: string, change: RateLimitChange) => void;
+  /** Decides about other data centres where the settings switch it on. */
+  readonly far?: FarRouting | undefined;
 };
 
 /** The outcome of an answer, and how it changed the failure estimate of its upstream. */
@@ -65,6 +68,9 @@
   readonly canTryAgain: boolean;
   /** Time left until the deadline of the request, in milliseconds. */
   readonly timeLeftMs: number;
+  /** Time left until the target latency is exceeded, in milliseconds; negative afterwards. */
+  readonly targetLeftMs: number;
+  readonly routeId: string;
   readonly bodyBytes: number;
   readonly excluded: ReadonlySet<string>;
 };
@@ -91,6 +97,10 @@
     });
   }
 
+  get far(): FarRouting | undefined {
+    return this.#dependencies.far;
+  }
+
   listUpstreams(): readonly UpstreamState[] {
     return [...this.#upstreams.values()];
   }
@@ -152,21 +162,20 @@
   }
 
   /** Chooses an upstream that has a free slot now. */
-  choose(needs: PlacementNeeds): PlacementChoice | undefined {
+  choose(needs: PlacementNeeds): FarChoice | undefined {
     const { clock, dataCentre, random, trust } = this.#dependencies;
     const now = clock.now();
-    const choice = chooseNearFirst(
-      {
-        ...needs,
-        mayTest: this.queue.mayTest,
-        computeMaxFailureProbability: () =>
-          this.queue.computeMaxFailureProbability(needs.timeLeftMs),
-        dataCentre,
-      },
-      this.#listCandidates(needs, now, true),
-      () => this.#listCandidates(needs, now, false),
-      random,
-    );
+    const request = {
+      ...needs,
+      mayTest: this.queue.mayTest,
+      computeMaxFailureProbability: () => this.queue.computeMaxFailureProbability(needs.timeLeftMs),
+      dataCentre,
+    };
+    const near = this.#listCandidates(needs, now, true);
+    const listAll = (): readonly PlacementCandidate[] => this.#listCandidates(needs, now, false);
+    const choice = this.far
+      ? this.far.choose(request, needs, near, listAll, this.queue.load, this.listUpstreams())
+      : chooseNearFirst(request, near, listAll, random);
     if (choice?.reason === 'test') trust.recordTest(choice.upstreamId, now);
     return choice;
   }
@@ -210,6 +219,7 @@
   /** Closes connections that have been idle for long, and probes failed links. */
   runTick(): void {
     this.#upstreams.forEach(({ pool }) => pool.runTick());
+    this.far?.runTick();
     this.#probeLinks();
   }
 
@@ -313,6 +323,7 @@
    * an upstream with a rate limit, only as many slots count as the permitted rate keeps busy.
    */
   #countSlots(now: number, meanAttemptMs: number): number {
+    if (this.far) return this.far.countSlots(this.listUpstreams());
     const counted = this.#listCounted(now);
     const limitedSlots = counted.reduce(
       (sum, state) => sum + this.#countLimitedSlots(state, meanAttemptMs),
@@ -336,6 +347,13 @@
     return trusted.length > 0 ? trusted : states;
   }
 
+  /** Slots of an upstream; of one with a rate limit, as many as the permitted rate keeps busy. */
+  countSlots(state: UpstreamState): number {
+    return state.rateLimit.isLimited
+      ? this.#countLimitedSlots(state, this.queue.meanAttemptMs)
+      : state.record.slots;
+  }
+
   /** Slots that the permitted rate of a limited upstream keeps busy; 0 without a limit. */
   #countLimitedSlots({ rateLimit, record }: UpstreamState, meanAttemptMs: number): number {
     if (!rateLimit.isLimited) return 0;
