Report the use of accounts to followers without slowing dispatchers down

Cause: a daemon that is no dispatcher reported to every daemon that had ever reported to it, so that all of them told each other all the time.

Change: followers report to dispatchers alone. Dispatchers tell each other at a rate by their own number, and their followers by the number of all, of all changes since the last time.

--- a/packages/gateway/src/account-usage/account-quotas.ts
+++ b/packages/gateway/src/account-usage/account-quotas.ts
@@ -58,6 +58,9 @@
   /** Position of the next account that they are told of. */
   #nextAnswer = 0;
 
+  /** Accounts whose changes the followers were not told of yet. */
+  readonly #untoldFollowers = new Set<AccountQuota>();
+
   constructor(ports: AccountQuotasPorts) {
     this.#ports = ports;
     const { clock, log, bounds, schedule, isRecipient } = ports;
@@ -181,8 +184,10 @@
     this.#refresh(false);
     const now = this.#now;
     const { selfId, startId, send } = this.#ports;
-    const addresses = this.#audience.listAddresses();
+    const areFollowersTold = this.#audience.areFollowersDue;
+    const addresses = this.#audience.takeRecipients();
     const view = this.#audience.buildView();
+    const reported = this.#chooseReported(now, areFollowersTold);
     this.#audience.recordSent();
     this.#sequence += 1;
     const body = formatUsageReport({
@@ -191,8 +196,8 @@
       ageMs: now - this.#startedAt,
       sequence: this.#sequence,
       isLearning: now < this.#learningUntil,
-      recipientCount: addresses.length,
-      usages: this.#chooseReported(now).map((quota) => ({
+      recipientCount: this.#audience.totalCount,
+      usages: reported.map((quota) => ({
         account: hashText(quota.name),
         ...quota.takeUsage(view, now),
       })),
@@ -201,9 +206,18 @@
   }
 
   /** The accounts with changes, and in turn all others while a daemon begins anew. */
-  #chooseReported(now: number): readonly AccountQuota[] {
+  #chooseReported(now: number, areFollowersTold: boolean): readonly AccountQuota[] {
     const all = this.#table.list();
-    const changed = all.filter((quota) => quota.shouldReport(now)).slice(0, MAX_ROWS);
+    const changed = all
+      .filter(
+        (quota) =>
+          quota.shouldReport(now) || (areFollowersTold && this.#untoldFollowers.has(quota)),
+      )
+      .slice(0, MAX_ROWS);
+    changed.forEach((quota) => {
+      if (areFollowersTold) this.#untoldFollowers.delete(quota);
+      else this.#untoldFollowers.add(quota);
+    });
     if (now >= this.#answerUntil || now < this.#learningUntil) return changed;
     const from = this.#nextAnswer % all.length;
     const others = [...all.slice(from), ...all.slice(0, from)].filter(
--- a/packages/gateway/src/account-usage/recent-reporters.ts
+++ b/packages/gateway/src/account-usage/recent-reporters.ts
@@ -1,11 +1,18 @@
 /**
- * The daemons to which the use of accounts is reported: the dispatchers, those that leave, and those
- * that have reported use themselves lately, since callers send to them.
+ * The daemons to which the use of accounts is reported: the dispatchers and those that leave, and as
+ * followers those that have reported use themselves lately, since callers send to them.
  */
 import type { Clock } from '@baobabline/core';
 
 export type UsageRecipient = { readonly address: string };
 
+/** Addresses of the recipients, without this daemon. */
+export type UsageRecipients = {
+  /** Dispatchers and daemons that leave. */
+  readonly fixed: readonly string[];
+  readonly followers: readonly string[];
+};
+
 /** A daemon that gets a request of a small account every few seconds is told all the time. */
 const RECENT_MS = 30_000;
 /** The list is read several times for each request and each datagram. */
@@ -21,7 +28,7 @@
   /** When a daemon last reported, by address. */
   readonly #heardAt = new Map<string, number>();
 
-  #listed: { readonly at: number; readonly addresses: readonly string[] } | undefined;
+  #listed: (UsageRecipients & { readonly at: number }) | undefined;
 
   constructor(selfAddress: string, clock: Clock, listFixed: () => readonly UsageRecipient[]) {
     this.#selfAddress = selfAddress;
@@ -34,20 +41,19 @@
     this.#heardAt.set(address, this.#clock.now());
   }
 
-  /** Lists the addresses of the recipients, without this daemon. */
-  list(): readonly string[] {
+  list(): UsageRecipients {
     const now = this.#clock.now();
     if (!this.#listed || now > this.#listed.at + LIST_VALID_MS) {
-      this.#listed = { at: now, addresses: this.#build() };
+      this.#listed = { at: now, ...this.#build() };
     }
-    return this.#listed.addresses;
+    return this.#listed;
   }
 
-  #build(): readonly string[] {
-    const fixed = this.#listFixed().map(({ address }) => address);
-    const addresses = new Set([...fixed, ...this.#heardAt.keys()]);
-    addresses.delete(this.#selfAddress);
-    return [...addresses];
+  #build(): UsageRecipients {
+    const fixed = new Set(this.#listFixed().map(({ address }) => address));
+    fixed.delete(this.#selfAddress);
+    const followers = [...this.#heardAt.keys()].filter((address) => !fixed.has(address));
+    return { fixed: [...fixed], followers };
   }
 
   prune(): void {
--- a/packages/gateway/src/account-usage/usage-audience.ts
+++ b/packages/gateway/src/account-usage/usage-audience.ts
@@ -11,7 +11,7 @@
 import { RecentReporters } from './recent-reporters.js';
 import type { UsageRecipient } from './recent-reporters.js';
 import type { UsageReport } from './usage-message.js';
-import { computeRegularIntervalMs } from './usage-reports.js';
+import { computeFollowerIntervalMs, computeRegularIntervalMs } from './usage-reports.js';
 
 export type UsageAudiencePorts = {
   readonly clock: Clock;
@@ -48,6 +48,8 @@
 
   #reportedAt = Number.NEGATIVE_INFINITY;
 
+  #followersToldAt = Number.NEGATIVE_INFINITY;
+
   /** Number of daemons to which the dispatchers report. */
   #dispatcherRecipients = 0;
 
@@ -66,14 +68,36 @@
     return this.#visiblePart;
   }
 
-  /** The number by which reports are spaced; a follower reports no more often than its dispatchers. */
+  /**
+   * The number by which reports are spaced. Followers do not slow down the reports of dispatchers to
+   * each other; a follower reports no more often than dispatchers report to it.
+   */
   get recipientCount(): number {
-    const own = this.listAddresses().length;
-    return this.#ports.isRecipient() ? own : Math.max(own, this.#dispatcherRecipients);
+    const { fixed } = this.#reporters.list();
+    return this.#ports.isRecipient()
+      ? fixed.length
+      : Math.max(fixed.length, this.#dispatcherRecipients);
+  }
+
+  /** Number of all daemons to which this one reports. */
+  get totalCount(): number {
+    const { fixed, followers } = this.#reporters.list();
+    return fixed.length + followers.length;
+  }
+
+  /** Whether it is time to report to the followers, too. */
+  get areFollowersDue(): boolean {
+    const { followers } = this.#reporters.list();
+    const dueAt = this.#followersToldAt + computeFollowerIntervalMs(this.totalCount);
+    return followers.length > 0 && this.#ports.clock.now() >= dueAt;
   }
 
-  listAddresses(): readonly string[] {
-    return this.#reporters.list();
+  /** Lists those that are told now, and takes note of it. */
+  takeRecipients(): readonly string[] {
+    const { fixed, followers } = this.#reporters.list();
+    if (!this.areFollowersDue) return fixed;
+    this.#followersToldAt = this.#ports.clock.now();
+    return [...fixed, ...followers];
   }
 
   buildView(): QuotaView {
@@ -82,9 +106,9 @@
     return {
       selfId,
       dispatcherIds: listDispatcherIds(),
-      hasRecipients: this.listAddresses().length > 0,
+      hasRecipients: this.totalCount > 0,
       isFollower,
-      daemonCount: this.recipientCount + 1,
+      daemonCount: Math.max(this.totalCount, this.recipientCount) + 1,
       // A dispatcher's report that is under way may not include what has just arrived there.
       arrivalMs: isFollower ? 2 * ARRIVAL_MS : ARRIVAL_MS,
       demandArrivalMs: isFollower ? 2 * ARRIVAL_MS + this.#regularIntervalMs : ARRIVAL_MS,
@@ -100,7 +124,8 @@
     const now = this.#ports.clock.now();
     const heard = this.#heard.recordReport(report, this.#regularIntervalMs, now);
     if (!heard) return undefined;
-    this.#reporters.record(address);
+    // Followers report to dispatchers alone; among each other their datagrams would grow as a square.
+    if (this.#ports.isRecipient()) this.#reporters.record(address);
     this.#dispatcherRecipients = recipientCount;
     return heard;
   }
--- a/packages/gateway/src/account-usage/usage-reports.ts
+++ b/packages/gateway/src/account-usage/usage-reports.ts
@@ -33,6 +33,11 @@
   return Math.max(REGULAR_INTERVAL_MS, recipientCount * MS_PER_RECIPIENT);
 }
 
+/** Least time between two reports of a dispatcher to its followers. */
+export function computeFollowerIntervalMs(recipientCount: number): number {
+  return Math.max(CHANGE_INTERVAL_MS, recipientCount * URGENT_MS_PER_RECIPIENT);
+}
+
 export class UsageReports {
   readonly #ports: UsageReportsPorts;
 
