Accept reports of a daemon that restarts with an earlier clock

The start of a sender is its wall-clock time; with a clock that was set back its reports were ignored for ten minutes. Also tests that figures without sense in a report don't keep an account from being served.

--- a/packages/core/src/account-quotas/account-quotas.test.ts
+++ b/packages/core/src/account-quotas/account-quotas.test.ts
@@ -74,7 +74,7 @@
   const INTERVAL_MS = 150;
   let heard: HeardDaemons;
 
-  function hear(id: string, sequence: number, now: number): boolean | undefined {
+  function recordReport(id: string, sequence: number, now: number): boolean | undefined {
     return heard.recordReport({ id, startId: 1, sequence }, INTERVAL_MS, now)?.wasSilent;
   }
 
@@ -87,10 +87,10 @@
   });
 
   it('are those that were not silent for long, and one more lost report is no silence', () => {
-    IDS.slice(1).forEach((id) => hear(id, 1, 100));
+    IDS.slice(1).forEach((id) => recordReport(id, 1, 100));
     expect(computePart(400)).to.equal(1);
-    hear('d-2', 2, 450);
-    expect([computePart(600), hear('d-3', 2, 600), computePart(600)]).to.deep.equal([
+    recordReport('d-2', 2, 450);
+    expect([computePart(600), recordReport('d-3', 2, 600), computePart(600)]).to.deep.equal([
       0.5,
       true,
       0.75,
@@ -102,8 +102,8 @@
   });
 
   it('are not heard again by a report that was overtaken', () => {
-    hear('d-2', 2, 100);
-    expect(hear('d-2', 1, 110)).to.equal(undefined);
+    recordReport('d-2', 2, 100);
+    expect(recordReport('d-2', 1, 110)).to.equal(undefined);
   });
 });
 
--- a/packages/core/src/account-quotas/heard-daemons.ts
+++ b/packages/core/src/account-quotas/heard-daemons.ts
@@ -21,6 +21,8 @@
  * no reports. If it is cut off instead, the membership has noticed it by then.
  */
 const FIRST_REPORT_MS = 5000;
+/** Datagrams of an earlier start of a daemon do not arrive later than this. */
+const OVERTAKEN_MS = 1000;
 const FORGET_MS = 600_000;
 
 export class HeardDaemons {
@@ -45,7 +47,9 @@
     now: number,
   ): { readonly wasSilent: boolean } | undefined {
     const known = this.#daemons.get(id);
-    if (known && startId < known.startId) return undefined;
+    // After a start with a clock that was set back the number is lower.
+    const isRecent = known !== undefined && now < known.heardAt + OVERTAKEN_MS;
+    if (isRecent && startId < known.startId) return undefined;
     if (known?.startId === startId && sequence <= known.sequence) return undefined;
     this.#daemons.set(id, { startId, sequence, heardAt: now });
     return { wasSilent: known !== undefined && this.#isSilent(known, reportIntervalMs, now) };
--- a/packages/gateway/src/account-usage/account-quotas.test.ts
+++ b/packages/gateway/src/account-usage/account-quotas.test.ts
@@ -1,8 +1,9 @@
-import { createRandom } from '@baobabline/core';
+import { createRandom, hashText } from '@baobabline/core';
 import type { ClientAccount } from '@baobabline/core';
 import { expect } from 'chai';
 
 import { SimulatedQuotaFleet } from './simulated-quota-fleet.js';
+import { formatUsageReport } from './usage-message.js';
 
 const MS_PER_SECOND = 1000;
 const LOSS = 0.025;
@@ -192,4 +193,18 @@
     const bodies = [Buffer.alloc(0), Buffer.of(1, 2, 3), Buffer.from('["a",1]')];
     expect(bodies.map((body) => fleet.acceptBody(0, body))).to.deep.equal([false, false, false]);
   });
+
+  // One daemon with a fault must not keep an account from being served for ever.
+  it('go on after reports with figures that make no sense', () => {
+    const fleet = createFleet(6);
+    fleet.advance(3000, () => undefined);
+    const fleetUsage = { tokens: -1e9, demand: 1e9, activeDaemons: 2 ** 32, ratePerSecond: 1e9 };
+    const usage = { account: hashText('middle'), count: 1e15, demand: 1e9, fleet: fleetUsage };
+    const head = { senderId: 'd-9', startId: 1, ageMs: 0, isLearning: false, recipientCount: 1 };
+    [0, 1e15, 0].forEach((count, sequence) =>
+      fleet.acceptBody(0, formatUsageReport({ ...head, sequence, usages: [{ ...usage, count }] })),
+    );
+    fleet.advance(7000, () => undefined);
+    expect(fleet.sendRequest(0, MIDDLE)?.kind).to.equal('admitted');
+  });
 });
