--- a/packages/core/src/retries/index.ts
+++ b/packages/core/src/retries/index.ts
@@ -4,8 +4,6 @@
 export type { RetryBudgetSettings } from './retry-budget.js';
 export { RetrySlackShares } from './retry-slack-shares.js';
 export type { RetrySlackSharesPorts, SlackDispatcher } from './retry-slack-shares.js';
-export { RetryWaitList } from './retry-wait-list.js';
-export type { WaitingRetry } from './retry-wait-list.js';
 export { ShedPauses } from './shed-pauses.js';
 export type { Shed } from './shed-pauses.js';
 export { SlidingWindowRetryBudget } from './sliding-window-retry-budget.js';
--- a/packages/core/src/retries/shed-replay.test.ts
+++ b/packages/core/src/retries/shed-replay.test.ts
@@ -1,8 +1,7 @@
 import { expect } from 'chai';
 
 import { chooseOne, createRandom } from '../runtime/index.js';
-import { RetryWaitList, ShedPauses, SlidingWindowRetryBudget } from './index.js';
-import type { WaitingRetry } from './index.js';
+import { ShedPauses, SlidingWindowRetryBudget } from './index.js';
 
 const STEP_MS = 5;
 const WINDOW_MS = 10_000;
@@ -21,7 +20,7 @@
 
 type Replay = {
   readonly slackShare: number;
-  /** Whether requests compete by urgency, wait for budget, and pauses take account of free slots. */
+  /** Whether requests compete by urgency, and pauses take account of free slots. */
   readonly isPresent: boolean;
   readonly daemons: number;
   readonly upstreams: number;
@@ -40,7 +39,6 @@
 
 type Daemon = {
   readonly budget: SlidingWindowRetryBudget;
-  readonly waiting: RetryWaitList<Request & WaitingRetry>;
   readonly pauses: ShedPauses;
   readonly pausedUntil: Map<string, number>;
 };
@@ -72,8 +70,7 @@
     { windowMs: WINDOW_MS, ratio: RATIO, fleetSlack: SLACK, getSlackShare: () => slackShare },
     clock,
   );
-  const waiting = new RetryWaitList<Request & WaitingRetry>(budget, clock);
-  return { budget, waiting, pauses: new ShedPauses(), pausedUntil: new Map() };
+  return { budget, pauses: new ShedPauses(), pausedUntil: new Map() };
 }
 
 /** Replays requests of two kinds while all upstreams shed, also those with free slots. */
@@ -100,19 +97,9 @@
   const isPaused = ({ pauses, pausedUntil }: Daemon, id: string): boolean =>
     isPresent ? pauses.isPaused(id, now) : now < (pausedUntil.get(id) ?? 0);
   const retryOrRefuse = (request: Request, retry: () => void): void => {
-    const { daemon, tried, arrivedAt } = request;
-    const entry = {
-      ...request,
-      shedCount: tried.size,
-      targetAt: arrivedAt + TARGET_MS,
-      latestSendAt: arrivedAt + LIMIT_MS - SERVICE_MS / 2,
-      expectedAttemptMs: SERVICE_MS,
-    };
-    const isLeft = tried.size < MAX_ATTEMPTS;
-    const mayRetry =
-      isLeft && (isPresent ? daemon.waiting.takeRetry(entry) : daemon.budget.takeRetry());
-    if (mayRetry) retry();
-    else if (isLeft && isPresent && daemon.waiting.shouldWait(entry)) daemon.waiting.add(entry);
+    const { daemon, tried, priority } = request;
+    const claim = isPresent ? { priority, shedCount: tried.size } : undefined;
+    if (tried.size < MAX_ATTEMPTS && daemon.budget.takeRetry(claim)) retry();
     else end(request, false);
   };
   const place = (request: Request): void => {
@@ -148,10 +135,6 @@
   Array.from({ length: END_MS / STEP_MS }, (_, index) => index * STEP_MS).forEach((at) => {
     now = at;
     (events.get(at) ?? []).forEach((run) => run());
-    daemons.forEach(({ waiting }) => {
-      waiting.takeGranted().forEach(place);
-      if (at % 100 === 0) waiting.takeHopeless().forEach((request) => end(request, false));
-    });
     if (random.next() >= (perSecond * STEP_MS) / 1000 / 2) return;
     [0, 1].forEach((priority) => {
       const daemon = daemons[Math.floor(random.next() * daemons.length)];
@@ -208,46 +191,3 @@
     expect(present.blocked).to.be.lessThan(former.blocked / 10);
   });
 });
-
-describe('RetryWaitList', () => {
-  it('lets a request wait only for budget that returns in time, and lets none overtake it', () => {
-    let now = 0;
-    const { waiting } = createDaemon(3.5 / SLACK, { now: () => now });
-    const claim = { priority: 1, shedCount: 1 };
-    const build = (id: string): Request & WaitingRetry => ({
-      ...{ id, arrivedAt: now, daemon: createDaemon(0, { now: () => now }), tried: new Set() },
-      ...{ ...claim, targetAt: now + 2000, latestSendAt: now + 4800, expectedAttemptMs: 400 },
-    });
-    const taken = Array.from({ length: 4 }, () => waiting.takeRetry(claim));
-    expect(taken).to.deep.equal([true, true, true, false]);
-    now = 5000;
-    expect(waiting.shouldWait(build('early'))).to.equal(false);
-    now = 9000;
-    ['a', 'b', 'c'].map(build).forEach((entry) => {
-      expect(waiting.shouldWait(entry)).to.equal(true);
-      waiting.add(entry);
-    });
-    expect(waiting.shouldWait(build('d'))).to.equal(false);
-    expect(waiting.takeGranted()).to.deep.equal([]);
-    now = 10_500;
-    expect(waiting.takeRetry(claim)).to.equal(false);
-    expect(waiting.takeGranted().map(({ id }) => id)).to.deep.equal(['a', 'b', 'c']);
-  });
-
-  it('refuses those that wait as soon as the budget no longer covers them', () => {
-    let now = 0;
-    let share = 3.5 / SLACK;
-    const budget = new SlidingWindowRetryBudget(
-      { windowMs: WINDOW_MS, ratio: RATIO, fleetSlack: SLACK, getSlackShare: () => share },
-      { now: () => now },
-    );
-    const waiting = new RetryWaitList(budget, { now: () => now });
-    Array.from({ length: 3 }, () => budget.takeRetry());
-    now = 9000;
-    const times = { targetAt: now + 2000, latestSendAt: now + 4800, expectedAttemptMs: 400 };
-    waiting.add({ id: 'a', priority: 0, shedCount: 1, ...times });
-    expect(waiting.takeHopeless()).to.deep.equal([]);
-    share = 0;
-    expect(waiting.takeHopeless().map(({ id }) => id)).to.deep.equal(['a']);
-  });
-});
--- a/packages/core/src/retries/sliding-window-retry-budget.ts
+++ b/packages/core/src/retries/sliding-window-retry-budget.ts
@@ -48,9 +48,6 @@
 const MAX_RESERVE = 0.75;
 /** Fewer retries than this within two buckets do not show that the budget runs down. */
 const MIN_RECENT_RETRIES = 5;
-/** Share of the expected requests that a forecast of the budget relies on. */
-const FORECAST_FACTOR = 0.8;
-
 const FIRST_CLAIM: RetryClaim = { priority: 0, shedCount: 1 };
 
 type Bucket = {
@@ -62,9 +59,6 @@
 
 type Usage = { readonly allowed: number; readonly used: number };
 
-/** The budget as it is expected to be after a time. */
-type Forecast = Usage & { readonly afterMs: number };
-
 function sumRequests(buckets: readonly Bucket[]): number {
   return buckets.reduce((sum, { requests }) => sum + requests, 0);
 }
@@ -80,14 +74,6 @@
 
   #buckets: readonly Bucket[] = [];
 
-  /** Reused for requests that ask at the same time. */
-  #forecasts: {
-    readonly at: number;
-    readonly slackShare: number;
-    readonly buckets: readonly Bucket[];
-    readonly list: readonly Forecast[];
-  } = { at: Number.NEGATIVE_INFINITY, slackShare: 0, buckets: [], list: [] };
-
   constructor(settings: SlidingWindowRetryBudgetSettings, clock: Clock) {
     this.#settings = settings;
     this.#clock = clock;
@@ -100,8 +86,8 @@
   }
 
   /** Takes one retry out of the budget; returns false if none is left for the request. */
-  takeRetry(claim: RetryClaim = FIRST_CLAIM, ahead = 0): boolean {
-    if (this.countRetriesLeft(claim) < 1 + ahead) return false;
+  takeRetry(claim: RetryClaim = FIRST_CLAIM): boolean {
+    if (this.countRetriesLeft(claim) < 1) return false;
     const bucket = this.#getCurrentBucket();
     this.#putBucket({ ...bucket, retries: bucket.retries + 1 });
     return true;
@@ -130,41 +116,9 @@
     return retries >= MIN_RECENT_RETRIES && (retries * BUCKETS_PER_WINDOW) / 2 > allowed;
   }
 
-  /**
-   * Computes in how many milliseconds the budget is expected to cover a request's retry and `ahead`
-   * others before it; undefined if the retries that leave the window never suffice.
-   */
-  computeReturnMs(claim: RetryClaim, ahead: number): number | undefined {
-    const reserve = this.#computeReserve(this.#listCurrentBuckets(), claim);
-    return this.#listForecasts().find(
-      ({ allowed, used }) => allowed * (1 - reserve) - used >= 1 + ahead,
-    )?.afterMs;
-  }
-
-  /** Lists what the budget will be now and each time that a bucket leaves the window. */
-  #listForecasts(): readonly Forecast[] {
-    const now = this.#clock.now();
-    const buckets = this.#listCurrentBuckets();
-    const { windowMs, getSlackShare } = this.#settings;
-    const slackShare = getSlackShare();
-    const known = this.#forecasts;
-    const isCurrent =
-      known.at === now && known.slackShare === slackShare && known.buckets === this.#buckets;
-    if (isCurrent) return known.list;
-    const requestsPerMs = (sumRequests(buckets) / windowMs) * FORECAST_FACTOR;
-    const later = buckets.map(({ index }, position) => {
-      const afterMs = ((index + BUCKETS_PER_WINDOW + 1) * windowMs) / BUCKETS_PER_WINDOW - now;
-      const kept = buckets.slice(position + 1);
-      return { afterMs, ...this.#computeUsage(kept, requestsPerMs * afterMs) };
-    });
-    const list = [{ afterMs: 0, ...this.#computeUsage(buckets) }, ...later];
-    this.#forecasts = { at: now, slackShare, buckets: this.#buckets, list };
-    return list;
-  }
-
-  #computeUsage(buckets: readonly Bucket[], expectedRequests = 0): Usage {
+  #computeUsage(buckets: readonly Bucket[]): Usage {
     const { ratio, fleetSlack, getSlackShare } = this.#settings;
-    const requests = sumRequests(buckets) + expectedRequests;
+    const requests = sumRequests(buckets);
     const allowed =
       requests * ratio * RATIO_SAFETY_FACTOR + fleetSlack * getSlackShare() * SLACK_SAFETY_FACTOR;
     return { allowed, used: sumRetries(buckets) };
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -17,7 +17,6 @@
 import { buildQueueEntry } from './queue-entry.js';
 import type { QueueEntry } from './queue-entry.js';
 import type { Attempt, RequestRunDependencies } from './request-run-types.js';
-import type { WaitEnds } from './service-queue-types.js';
 import type { ServiceScheduler } from './service-scheduler.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { RequestEnd, RequestStep, RoutedRequest, ServedRequest } from './types.js';
@@ -166,19 +165,13 @@
     }
     this.#ticket = queue.wait({
       ...entry,
-      ...this.#buildWaitEnds(entry),
+      onExpired: () => this.#refuseHopeless(entry, 'expired'),
+      onHopeless: (reason, retryAfterMs) => this.#refuseHopeless(entry, reason, retryAfterMs),
       tryPlace: () => this.#tryPlace(),
     });
     this.#record({ step: 'waiting', ahead: queue.size - 1 });
   }
 
-  #buildWaitEnds(entry: QueueEntry): WaitEnds {
-    return {
-      onExpired: () => this.#refuseHopeless(entry, 'expired'),
-      onHopeless: (reason, retryAfterMs) => this.#refuseHopeless(entry, reason, retryAfterMs),
-    };
-  }
-
   #refuseQuarantined(retryAfterMs: number): void {
     const { fingerprint } = this.#request;
     this.#record({ step: 'quarantined', fingerprint, retryAfterMs, sent: this.#sentCount });
@@ -389,8 +382,9 @@
     if (this.#isDone || this.#attempts.length > 0) return;
     const isLeft = this.#sentCount < this.#request.route.maxAttempts && this.#timeLeft > 0;
     if (!isSafe || !isLeft) this.#fail();
-    else if (wasUnsent || this.#scheduler.queue.takeRetry(this.#claim)) this.#tryAgain();
-    else this.#waitForRetryOrRefuse();
+    else if (wasUnsent || this.#scheduler.queue.allowance.takeRetry(this.#claim)) {
+      if (!this.#tryPlace()) this.#waitOrRefuse();
+    } else this.#refuseHopeless(this.#buildEntry(), 'retry-budget');
   }
 
   get #claim(): RetryClaim {
@@ -398,24 +392,6 @@
     return { priority: this.#request.priority, shedCount: this.#shedCount, isOverShare };
   }
 
-  #tryAgain(): void {
-    this.#ticket = undefined;
-    if (!this.#isDone && !this.#tryPlace()) this.#waitOrRefuse();
-  }
-
-  /** Waits for the retry budget if it returns in time. */
-  #waitForRetryOrRefuse(): void {
-    const entry = this.#buildEntry();
-    this.#ticket = this.#scheduler.queue.waitForRetry({
-      ...entry,
-      ...this.#claim,
-      ...this.#buildWaitEnds(entry),
-      onGranted: () => this.#tryAgain(),
-    });
-    if (this.#ticket === undefined) this.#refuseHopeless(entry, 'retry-budget');
-    else this.#record({ step: 'waiting', ahead: this.#scheduler.queue.size - 1 });
-  }
-
   #handleTimeUp(): void {
     if (this.#isDone) return;
     if (this.#sentCount > 0 && this.#attempts.length > 0) {
--- a/packages/gateway/src/requests/service-queue-types.ts
+++ b/packages/gateway/src/requests/service-queue-types.ts
@@ -7,29 +7,20 @@
   RandomSource,
   RefusalReason,
   SlidingWindowRetryBudgetSettings,
-  WaitingRetry,
 } from '@baobabline/core';
 
-/** What a queued request does when its wait ends. */
-export type WaitEnds = {
+/** A queued request, with callbacks that place or refuse it. */
+export type QueuedPlacement = QueuedRequest & {
+  /** Whether it may run more than once. */
+  readonly isRepeatable: boolean;
+  /** Tries to place the request; returns whether it can leave the queue. */
+  readonly tryPlace: () => boolean;
   /** Called when the latest time at which it may be sent has passed. */
   readonly onExpired: () => void;
   /** Called when it could only be sent too late. */
   readonly onHopeless: (reason: RefusalReason, retryAfterMs: number) => void;
 };
 
-/** A queued request, with callbacks that place or refuse it. */
-export type QueuedPlacement = QueuedRequest &
-  WaitEnds & {
-    /** Whether it may run more than once. */
-    readonly isRepeatable: boolean;
-    /** Tries to place the request; returns whether it can leave the queue. */
-    readonly tryPlace: () => boolean;
-  };
-
-/** A request that waits for the retry budget. */
-export type QueuedRetry = WaitingRetry & WaitEnds & { readonly onGranted: () => void };
-
 export type ServiceOverload = {
   readonly refused: ReadonlyMap<RefusalReason, number>;
   readonly accountsOverShare: readonly string[];
--- a/packages/gateway/src/requests/service-queue.test.ts
+++ b/packages/gateway/src/requests/service-queue.test.ts
@@ -2,7 +2,6 @@
 import { mock } from 'node:test';
 
 import { createRandom } from '@baobabline/core';
-import type { RetryClaim } from '@baobabline/core';
 
 import { buildQueueEntry } from './queue-entry.js';
 import { buildRoutedRequest } from './request-fixtures.js';
@@ -10,9 +9,7 @@
 import type { QueuedPlacement } from './service-queue-types.js';
 import type { RoutedRequest } from './types.js';
 
-const WINDOW_MS = 1000;
 const STEP_MS = 10;
-const CLAIM: RetryClaim = { priority: 0, shedCount: 1 };
 
 describe('ServiceQueue', () => {
   let now = 0;
@@ -28,7 +25,7 @@
     queue = new ServiceQueue({
       clock: { now: () => now },
       random: createRandom(5),
-      allowance: { windowMs: WINDOW_MS, ratio: 0, fleetSlack: 1.5, getSlackShare: () => 1 },
+      allowance: { windowMs: 1000, ratio: 0, fleetSlack: 1, getSlackShare: () => 1 },
       countSlots: () => 10,
       countAllSlots: () => 10,
       findOwnPart: () => undefined,
@@ -79,25 +76,6 @@
     });
   }
 
-  it('holds a shed request until a retry leaves the window, and no longer', () => {
-    expect([queue.takeRetry(CLAIM), queue.takeRetry(CLAIM)]).to.deep.equal([true, false]);
-    let granted = 0;
-    const build = (): Parameters<ServiceQueue['waitForRetry']>[0] => ({
-      ...buildPlacement(buildRequest('a')),
-      ...CLAIM,
-      onGranted: () => {
-        granted += 1;
-      },
-    });
-    expect(queue.waitForRetry(build())).to.be.a('string');
-    // A second one would never be covered, and is not held.
-    expect(queue.waitForRetry(build())).to.equal(undefined);
-    wait(WINDOW_MS - STEP_MS);
-    expect([granted, queue.size]).to.deep.equal([0, 1]);
-    wait(WINDOW_MS / 10);
-    expect([granted, queue.size]).to.deep.equal([1, 0]);
-  });
-
   it('places requests of an account over its share after all others, whichever arrived first', () => {
     recordFlood();
     ['flood', 'small'].forEach((name) => queue.wait(buildPlacement(buildRequest(name))));
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -1,29 +1,16 @@
 /**
- * The requests of one service that wait at this daemon: for a free slot, or for the retry budget.
- * Refuses those that cannot be served, and tells their callers when to return.
+ * The requests of one service that wait at this daemon for a free slot, and its retry budget. Refuses those that cannot be served, and tells their callers when to return.
  */
 import {
   ArrivalRate,
   computeMaxFailureProbability,
   RequestQueue,
-  RetryWaitList,
   SlidingWindowRetryBudget,
   WaitJudge,
 } from '@baobabline/core';
-import type {
-  QueuedRequest,
-  QueueState,
-  RefusalReason,
-  RetryClaim,
-  WaitVerdict,
-} from '@baobabline/core';
+import type { QueuedRequest, QueueState, RefusalReason, WaitVerdict } from '@baobabline/core';
 
-import type {
-  QueuedPlacement,
-  QueuedRetry,
-  ServiceOverload,
-  ServiceQueuePorts,
-} from './service-queue-types.js';
+import type { QueuedPlacement, ServiceOverload, ServiceQueuePorts } from './service-queue-types.js';
 import type { RoutedRequest } from './types.js';
 
 /** Test requests leave this share of the retry budget to requests that fail unexpectedly. */
@@ -61,8 +48,6 @@
 
   readonly #requests: RequestQueue<QueuedPlacement>;
 
-  readonly #retries: RetryWaitList<QueuedRetry>;
-
   readonly #judge: WaitJudge;
 
   readonly #arrivals: ArrivalRate;
@@ -85,7 +70,6 @@
     const { clock } = ports;
     this.#ports = ports;
     this.allowance = new SlidingWindowRetryBudget(ports.allowance, clock);
-    this.#retries = new RetryWaitList(this.allowance, clock);
     this.#judge = new WaitJudge(ports.random, {
       ...ports,
       getCapacityPerMs: () => ports.countAllSlots() / this.#meanAttemptMs,
@@ -95,7 +79,7 @@
   }
 
   get size(): number {
-    return this.#requests.size + this.#retries.size;
+    return this.#requests.size;
   }
 
   /** Sums up what was refused since the start, by reason, and the accounts over their share now. */
@@ -135,12 +119,7 @@
   /** Takes a hedge from the retry budget if enough of the budget is left. */
   takeHedge(): boolean {
     const isEnoughLeft = this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_HEDGES;
-    return isEnoughLeft && !this.allowance.isRunningDown && this.takeRetry();
-  }
-
-  /** Takes a retry for a request, unless others wait for it that go first. */
-  takeRetry(claim: RetryClaim = { priority: 0, shedCount: 1 }): boolean {
-    return this.#retries.takeRetry(claim);
+    return isEnoughLeft && !this.allowance.isRunningDown && this.allowance.takeRetry();
   }
 
   /** The highest failure probability at which a request is sent now rather than queued. */
@@ -161,21 +140,15 @@
 
   /** Queues a request; returns what names its place, since several may bear the same id. */
   wait(waiter: QueuedPlacement): string {
-    const ticket = this.#createTicket();
+    this.#ticketCount += 1;
+    const ticket = String(this.#ticketCount);
     this.#requests.add({ ...waiter, id: ticket });
-    return ticket;
-  }
-
-  /** Queues a request until the retry budget covers it; returns its ticket, or undefined if it never will. */
-  waitForRetry(waiter: QueuedRetry): string | undefined {
-    if (!this.#retries.shouldWait(waiter)) return undefined;
-    const ticket = this.#createTicket();
-    this.#retries.add({ ...waiter, id: ticket });
+    this.#startPolling();
     return ticket;
   }
 
   remove(ticket: string): void {
-    if (!this.#requests.remove(ticket)) this.#retries.remove(ticket);
+    this.#requests.remove(ticket);
   }
 
   /**
@@ -218,19 +191,12 @@
     this.#serveNext(round);
   }
 
-  #createTicket(): string {
-    this.#ticketCount += 1;
-    this.#startPolling();
-    return String(this.#ticketCount);
-  }
-
-  /** Polls, since no event tells when a peer frees a slot or a retry leaves the budget's window. */
+  /** Polls, since no event tells when a peer frees a slot or an upstream's pause ends. */
   #startPolling(): void {
     this.#poll ??= setTimeout(() => {
       this.#poll = undefined;
       const now = this.#ports.clock.now();
       this.#requests.takeExpired(now).forEach((waiter) => waiter.onExpired());
-      this.#retries.takeGranted().forEach((waiter) => waiter.onGranted());
       this.#pollCount += 1;
       this.serve(this.#pollCount % POLLS_PER_YIELDING_TURN === 0);
       this.#refuseHopeless(now);
@@ -238,7 +204,7 @@
     }, POLL_INTERVAL_MS);
   }
 
-  /** Refuses queued requests that can no longer be sent in time, as slots or retries have been lost. */
+  /** Refuses queued requests that can no longer be sent in time since slots have been lost. */
   #refuseHopeless(now: number): void {
     if (now - this.#judgedAt < RECHECK_INTERVAL_MS) return;
     this.#judgedAt = now;
@@ -249,11 +215,6 @@
       this.#requests.remove(waiter.id);
       waiter.onHopeless(verdict.reason, verdict.retryAfterMs);
     });
-    this.#retries
-      .takeHopeless()
-      .forEach((waiter) =>
-        waiter.onHopeless('retry-budget', this.#judge.assignReturn(waiter.latestSendAt, state)),
-      );
   }
 
   /** The queue state for a request that has `ahead` requests before it. */
