Hold no slots free for accounts within their share

Besides, upstreams that were full counted as shedding at random, since reports are late.

Change: a freed slot is used at once again; an upstream counts as having free slots only up to half of its slots in use.

--- a/packages/core/src/queueing/request-queue.ts
+++ b/packages/core/src/queueing/request-queue.ts
@@ -41,8 +41,8 @@
 
 /** Tells which requests `findNext` looks for. */
 export type Wanted<Entry> = {
-  /** Whether requests are wanted that are repeatable or not, that are retries or not, of a rank. */
-  readonly wantsKind: (isRepeatable: boolean, isRetry: boolean, yieldRank: number) => boolean;
+  /** Whether requests are wanted that are repeatable or not, and retries or not. */
+  readonly wantsKind: (isRepeatable: boolean, isRetry: boolean) => boolean;
   readonly wantsRetry: (entry: Entry) => boolean;
 };
 
@@ -172,13 +172,13 @@
     lane: QueueLane<Entry>,
     { wantsKind, wantsRetry }: Wanted<Entry>,
   ): RankedEntry<Entry> | undefined {
-    const { yieldRank, isRepeatable, retries } = lane;
+    const { isRepeatable, retries } = lane;
     const retry =
-      retries.size > 0 && wantsKind(isRepeatable, true, yieldRank)
+      retries.size > 0 && wantsKind(isRepeatable, true)
         ? retries.list().find(({ entry }) => wantsRetry(entry))
         : undefined;
     if (retry) return { ...retry, group: RETRY_GROUP };
-    return wantsKind(isRepeatable, false, yieldRank) ? lane.findFirst() : undefined;
+    return wantsKind(isRepeatable, false) ? lane.findFirst() : undefined;
   }
 
   #findYieldRank(request: QueuedRequest): number {
--- a/packages/core/src/queueing/simulated-overload.ts
+++ b/packages/core/src/queueing/simulated-overload.ts
@@ -46,8 +46,6 @@
 
 const STEP_MS = 10;
 const RECHECK_MS = 100;
-/** How often requests that yield may take slots. */
-const YIELDING_INTERVAL_MS = 30;
 
 /** A daemon of the simulation. */
 class SimulatedDaemon {
@@ -180,11 +178,7 @@
   const serveNext = (order: readonly SimulatedDaemon[]): void => {
     const [daemon, ...others] = order;
     if (!daemon || busy >= slots) return;
-    const isYieldingTurn = isFormer || now % YIELDING_INTERVAL_MS === 0;
-    const next = daemon.queue.findNext(now, {
-      wantsKind: (_isRepeatable, _isRetry, yieldRank) => yieldRank === 0 || isYieldingTurn,
-      wantsRetry: () => true,
-    });
+    const next = daemon.queue.findNext(now, { wantsKind: () => true, wantsRetry: () => true });
     if (next) {
       daemon.queue.remove(next.id);
       serve(daemon, next.request);
--- a/packages/core/src/retries/shed-pauses.ts
+++ b/packages/core/src/retries/shed-pauses.ts
@@ -16,8 +16,12 @@
 const MIN_SHEDDING_PART = 0.4;
 /** Fewer upstreams than this show no pattern. */
 const MIN_SHEDDING_COUNT = 3;
-/** An upstream is taken to have free slots if at most this share of its slots was in use. */
-const MAX_USED_SHARE = 0.75;
+/**
+ * An upstream is taken to have free slots if at most this share of its slots was in use. Reports of
+ * other daemons are late: with 0.75, full upstreams counted as shedding at random, and without pauses
+ * more than twice as many requests were sent to full ones.
+ */
+const MAX_USED_SHARE = 0.5;
 
 export type Shed = {
   readonly upstreamId: string;
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -18,11 +18,6 @@
 /** Hedges leave this share of the retry budget to requests that fail. */
 const MIN_BUDGET_SHARE_FOR_HEDGES = 0.3;
 const POLL_INTERVAL_MS = 10;
-/**
- * Polls until requests of accounts over their share may take slots again. Until then a slot that has
- * become free is seen by the other daemons, at which requests of other accounts may wait for it.
- */
-const POLLS_PER_YIELDING_TURN = 3;
 /** How often the queue is checked for requests that can no longer be served in time. */
 const RECHECK_INTERVAL_MS = 100;
 /** Assumed until the first attempt has ended. */
@@ -36,7 +31,6 @@
 
 /** One round of placing requests, and those that found no slot in it. */
 type Round = {
-  readonly servesYielding: boolean;
   readonly retries: Map<string, boolean>;
   readonly kinds: Set<boolean>;
 };
@@ -62,8 +56,6 @@
 
   #judgedAt = 0;
 
-  #pollCount = 0;
-
   #poll: NodeJS.Timeout | undefined;
 
   constructor(ports: ServiceQueuePorts) {
@@ -155,15 +147,13 @@
    * Places queued requests while upstreams have free slots. If a first attempt finds no slot, later
    * requests that are as repeatable as it is are skipped, since they would find none either.
    */
-  serve(isYieldingTurn = false): void {
-    if (this.#requests.size === 0) return;
-    const servesYielding = isYieldingTurn || this.#judge.listOverShare().length === 0;
-    this.#serveNext({ servesYielding, retries: new Map(), kinds: new Set() });
+  serve(): void {
+    if (this.#requests.size > 0) this.#serveNext({ retries: new Map(), kinds: new Set() });
   }
 
   /**
    * Places the requests that wait; returns whether a new one may be placed without waiting. One of an
-   * account over its share may not while others wait, since slots are kept free for them for a while.
+   * account over its share may not while others wait.
    */
   mayPlaceAtOnce(request: RoutedRequest): boolean {
     this.serve();
@@ -176,12 +166,12 @@
   }
 
   #serveNext(round: Round): void {
-    const { servesYielding, retries, kinds } = round;
+    const { retries, kinds } = round;
     const waiter = this.#requests.findNext(this.#ports.clock.now(), {
-      wantsKind: (isRepeatable, isRetry, yieldRank) =>
+      wantsKind: (isRepeatable, isRetry) =>
         isRetry
           ? [...retries.values()].filter((one) => one === isRepeatable).length < MAX_BLOCKED_RETRIES
-          : !kinds.has(isRepeatable) && (servesYielding || yieldRank === 0),
+          : !kinds.has(isRepeatable),
       wantsRetry: ({ id }) => !retries.has(id),
     });
     if (!waiter) return;
@@ -197,8 +187,7 @@
       this.#poll = undefined;
       const now = this.#ports.clock.now();
       this.#requests.takeExpired(now).forEach((waiter) => waiter.onExpired());
-      this.#pollCount += 1;
-      this.serve(this.#pollCount % POLLS_PER_YIELDING_TURN === 0);
+      this.serve();
       this.#refuseHopeless(now);
       if (this.size > 0) this.#startPolling();
     }, POLL_INTERVAL_MS);
