--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -1,12 +1,10 @@
 /**
- * The requests of one service that wait at this daemon: for a free slot, or for the retry budget.
- * Refuses those that cannot be served, and tells their callers when to return.
+ * The requests of one service that wait at this daemon for a free slot, and its retry budget. Refuses those that cannot be served, and tells their callers when to return.
  */
 import {
   ArrivalRate,
   computeMaxFailureProbability,
   RequestQueue,
-  RetryWaitList,
   SlidingWindowRetryBudget,
   WaitJudge,
 } from '@baobabline/core';
@@ -15,16 +13,10 @@
   QueuedRequest,
   QueueState,
   RefusalReason,
-  RetryClaim,
   WaitVerdict,
 } from '@baobabline/core';
 
-import type {
-  QueuedPlacement,
-  QueuedRetry,
-  ServiceOverload,
-  ServiceQueuePorts,
-} from './service-queue-types.js';
+import type { QueuedPlacement, ServiceOverload, ServiceQueuePorts } from './service-queue-types.js';
 import type { RoutedRequest } from './types.js';
 
 /** Test requests leave this share of the retry budget to requests that fail unexpectedly. */
@@ -32,11 +24,6 @@
 /** Hedges leave this share of the retry budget to requests that fail. */
 const MIN_BUDGET_SHARE_FOR_HEDGES = 0.3;
 const POLL_INTERVAL_MS = 10;
-/**
- * Polls until requests of accounts over their share may take slots again. Until then a slot that has
- * become free is seen by the other daemons, at which requests of other accounts may wait for it.
- */
-const POLLS_PER_YIELDING_TURN = 3;
 /** How often the queue is checked for requests that can no longer be served in time. */
 const RECHECK_INTERVAL_MS = 100;
 /** Assumed until the first attempt has ended. */
@@ -50,7 +37,6 @@
 
 /** One round of placing requests, and those that found no slot in it. */
 type Round = {
-  readonly servesYielding: boolean;
   readonly retries: Map<string, boolean>;
   /** Requests with large bodies that found no upstream with room for them. */
   readonly largeBodies: Set<string>;
@@ -64,8 +50,6 @@
 
   readonly #requests: RequestQueue<QueuedPlacement>;
 
-  readonly #retries: RetryWaitList<QueuedRetry>;
-
   readonly #judge: WaitJudge;
 
   readonly #arrivals: ArrivalRate;
@@ -80,15 +64,12 @@
 
   #judgedAt = 0;
 
-  #pollCount = 0;
-
   #poll: NodeJS.Timeout | undefined;
 
   constructor(ports: ServiceQueuePorts) {
     const { clock } = ports;
     this.#ports = ports;
     this.allowance = new SlidingWindowRetryBudget(ports.allowance, clock);
-    this.#retries = new RetryWaitList(this.allowance, clock);
     this.#judge = new WaitJudge(ports.random, {
       ...ports,
       getCapacityPerMs: () => ports.countAllSlots() / this.#meanAttemptMs,
@@ -98,7 +79,7 @@
   }
 
   get size(): number {
-    return this.#requests.size + this.#retries.size;
+    return this.#requests.size;
   }
 
   /** Sums up what was refused since the start, by reason, and the accounts over their share now. */
@@ -148,12 +129,7 @@
   /** Takes a hedge from the retry budget if enough of the budget is left. */
   takeHedge(): boolean {
     const isEnoughLeft = this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_HEDGES;
-    return isEnoughLeft && !this.allowance.isRunningDown && this.takeRetry();
-  }
-
-  /** Takes a retry for a request, unless others wait for it that go first. */
-  takeRetry(claim: RetryClaim = { priority: 0, shedCount: 1 }): boolean {
-    return this.#retries.takeRetry(claim);
+    return isEnoughLeft && !this.allowance.isRunningDown && this.allowance.takeRetry();
   }
 
   /** The highest failure probability at which a request is sent now rather than queued. */
@@ -174,41 +150,30 @@
 
   /** Queues a request; returns what names its place, since several may bear the same id. */
   wait(waiter: QueuedPlacement): string {
-    const ticket = this.#createTicket();
+    this.#ticketCount += 1;
+    const ticket = String(this.#ticketCount);
     this.#requests.add({ ...waiter, id: ticket });
-    return ticket;
-  }
-
-  /** Queues a request until the retry budget covers it; returns its ticket, or undefined if it never will. */
-  waitForRetry(waiter: QueuedRetry): string | undefined {
-    if (!this.#retries.shouldWait(waiter)) return undefined;
-    const ticket = this.#createTicket();
-    this.#retries.add({ ...waiter, id: ticket });
+    this.#startPolling();
     return ticket;
   }
 
   remove(ticket: string): void {
-    if (!this.#requests.remove(ticket)) this.#retries.remove(ticket);
+    this.#requests.remove(ticket);
   }
 
   /**
    * Places queued requests while upstreams have free slots. If a first attempt finds no slot, later
    * requests that are as repeatable as it is are skipped, since they would find none either.
    */
-  serve(isYieldingTurn = false): void {
-    if (this.#requests.size === 0) return;
-    const servesYielding = isYieldingTurn || this.#judge.listOverShare().length === 0;
-    this.#serveNext({
-      servesYielding,
-      retries: new Map(),
-      largeBodies: new Set(),
-      kinds: new Set(),
-    });
+  serve(): void {
+    if (this.#requests.size > 0) {
+      this.#serveNext({ retries: new Map(), largeBodies: new Set(), kinds: new Set() });
+    }
   }
 
   /**
    * Places the requests that wait; returns whether a new one may be placed without waiting. One of an
-   * account over its share may not while others wait, since slots are kept free for them for a while.
+   * account over its share may not while others wait.
    */
   mayPlaceAtOnce(request: RoutedRequest): boolean {
     this.serve();
@@ -221,12 +186,12 @@
   }
 
   #serveNext(round: Round): void {
-    const { servesYielding, retries, largeBodies, kinds } = round;
+    const { retries, largeBodies, kinds } = round;
     const waiter = this.#requests.findNext(this.#ports.clock.now(), {
-      wantsKind: (isRepeatable, isRetry, yieldRank) =>
+      wantsKind: (isRepeatable, isRetry) =>
         isRetry
           ? [...retries.values()].filter((one) => one === isRepeatable).length < MAX_BLOCKED_RETRIES
-          : !kinds.has(isRepeatable) && (servesYielding || yieldRank === 0),
+          : !kinds.has(isRepeatable),
       wantsEntry: ({ id }) => !retries.has(id) && !largeBodies.has(id),
     });
     if (!waiter) return;
@@ -237,27 +202,19 @@
     this.#serveNext(round);
   }
 
-  #createTicket(): string {
-    this.#ticketCount += 1;
-    this.#startPolling();
-    return String(this.#ticketCount);
-  }
-
-  /** Polls, since no event tells when a peer frees a slot or a retry leaves the budget's window. */
+  /** Polls, since no event tells when a peer frees a slot or an upstream's pause ends. */
   #startPolling(): void {
     this.#poll ??= setTimeout(() => {
       this.#poll = undefined;
       const now = this.#ports.clock.now();
       this.#requests.takeExpired(now).forEach((waiter) => waiter.onExpired());
-      this.#retries.takeGranted().forEach((waiter) => waiter.onGranted());
-      this.#pollCount += 1;
-      this.serve(this.#pollCount % POLLS_PER_YIELDING_TURN === 0);
+      this.serve();
       this.#refuseHopeless(now);
       if (this.size > 0) this.#startPolling();
     }, POLL_INTERVAL_MS);
   }
 
-  /** Refuses queued requests that can no longer be sent in time, as slots or retries have been lost. */
+  /** Refuses queued requests that can no longer be sent in time since slots have been lost. */
   #refuseHopeless(now: number): void {
     if (now - this.#judgedAt < RECHECK_INTERVAL_MS) return;
     this.#judgedAt = now;
@@ -268,11 +225,6 @@
       this.#requests.remove(waiter.id);
       waiter.onHopeless(verdict.reason, verdict.retryAfterMs);
     });
-    this.#retries
-      .takeHopeless()
-      .forEach((waiter) =>
-        waiter.onHopeless('retry-budget', this.#judge.assignReturn(waiter.latestSendAt, state)),
-      );
   }
 
   /** The queue state for a request that has `ahead` requests before it. */
