--- a/packages/core/src/account-quotas/account-quota.ts
+++ b/packages/core/src/account-quotas/account-quota.ts
@@ -17,6 +17,7 @@
 import { computeFollowerShare, computeTokenShare, HASH_RANGE, mayGrant } from './token-share.js';
 import type { TokenShare } from './token-share.js';
 import type { AccountUsage, FleetUsage, QuotaVerdict, QuotaView, UsageSender } from './types.js';
+import { WindowUse } from './window-use.js';
 
 export type AccountQuotaOptions = {
   readonly bounds: QuotaBounds;
@@ -63,8 +64,13 @@
   /** Requests admitted over the fleet. */
   #fleetAdmitted: DecayingCount = NO_EVENTS;
 
+  readonly #windowUse: WindowUse;
+
   #learningSince: number;
 
+  /** Since when the whole fleet is heard; infinite while it is not. */
+  #wholeSince: number;
+
   /** Whether another daemon has told how many tokens are left. */
   #hasAdopted = false;
 
@@ -81,7 +87,9 @@
     this.#rate = getRate(account);
     this.#limits = computeQuotaLimits(this.#rate, bounds);
     this.#bucket = new FleetBucket(this.#rate, this.#limits, now);
+    this.#windowUse = new WindowUse(bounds.windowMs);
     this.#learningSince = isNew ? Number.NEGATIVE_INFINITY : now;
+    this.#wholeSince = now;
     if (isNew) this.#bucket.setTokens(this.#limits.capacity, now);
   }
 
@@ -109,12 +117,13 @@
   }
 
   setVisiblePart(part: number, now: number): void {
+    this.#wholeSince = part < 1 ? Number.POSITIVE_INFINITY : Math.min(this.#wholeSince, now);
     this.#bucket.setVisiblePart(part, now);
   }
 
   /** Admits or refuses a request. */
   admit(view: QuotaView, now: number): QuotaVerdict {
-    const tokens = this.#bucket.getTokens(now);
+    const tokens = this.#computeTokens(view, now);
     const unknownToOthers = this.#own.countUnknown(view, now);
     const isNew = !this.#own.isKnownActive(view, now);
     this.#own.recordRequest(now);
@@ -165,6 +174,7 @@
       return;
     }
     this.#fleetAdmitted = addEvents(this.#fleetAdmitted, admitted, now, RATE_MS);
+    this.#windowUse.record(admitted, now);
     if (sender.wasSilent) this.#bucket.spendLate(admitted, now);
     else this.#bucket.spend(admitted, now);
     if (usage.fleet && isLearning && !sender.isLearning) {
@@ -191,6 +201,17 @@
     this.#share = undefined;
   }
 
+  /**
+   * The tokens that are left: those of the bucket or, where more, what a window allows. The window
+   * counts only for a daemon that has heard the whole fleet throughout it.
+   */
+  #computeTokens({ isFollower }: QuotaView, now: number): number {
+    const tokens = this.#bucket.getTokens(now);
+    const knownSince = Math.max(this.#wholeSince, this.#learningSince);
+    if (isFollower || now < knownSince + this.#bounds.windowMs) return tokens;
+    return Math.max(tokens, this.#windowUse.computeLeft(this.#rate, this.#bounds, now));
+  }
+
   #isLearning(now: number): boolean {
     return now < this.#learningSince + LEARNING_MS;
   }
@@ -203,6 +224,7 @@
   #addAdmitted(count: number, now: number): void {
     this.#own.addAdmitted(count, now);
     this.#fleetAdmitted = addEvents(this.#fleetAdmitted, count, now, RATE_MS);
+    this.#windowUse.record(count, now);
     this.#bucket.spend(count, now);
   }
 
@@ -229,7 +251,7 @@
   #computeFleetUsage(view: QuotaView, now: number): FleetUsage {
     const { demand, active } = this.#peers.sumDemand(this.#own.demand, now);
     return {
-      tokens: this.#bucket.getTokens(now),
+      tokens: this.#computeTokens(view, now),
       demand,
       activeDaemons: active,
       ratePerSecond: this.getFleetRate(view, now),
--- a/packages/gateway/src/account-usage/account-quotas.ts
+++ b/packages/gateway/src/account-usage/account-quotas.ts
@@ -27,11 +27,18 @@
 /** What an admitted request holds until it has run. */
 export type QuotaPermit =
   | { readonly kind: 'admitted'; readonly release: () => void }
-  | { readonly kind: 'refused'; readonly retryAfterMs: number };
+  | {
+      readonly kind: 'refused';
+      readonly retryAfterMs: number;
+      /** Whether this daemon does not know yet what is left, so that a short wait may be enough. */
+      readonly isLearning: boolean;
+    };
 
 const UNLIMITED: QuotaPermit = { kind: 'admitted', release: () => undefined };
 /** A daemon that begins anew says so, and is told of all accounts, for this long. */
 const LEARNING_MS = 1000;
+/** After all daemons have started together, tokens have accrued for some requests by then. */
+const UNSURE_MS = 3000;
 /** As many as fit into a datagram. */
 const MAX_ROWS = 48;
 
@@ -52,6 +59,8 @@
 
   #learningUntil = Number.NEGATIVE_INFINITY;
 
+  #unsureUntil = Number.NEGATIVE_INFINITY;
+
   /** Until when daemons that begin anew are told of all accounts. */
   #answerUntil = Number.NEGATIVE_INFINITY;
 
@@ -101,17 +110,17 @@
     this.#refresh(true);
     const now = this.#now;
     const tokens = quota.getTokens(now);
-    const { isAdmitted, isUrgent, retryAfterMs } = quota.admit(this.#audience.buildView(), now);
+    const { isAdmitted, isUrgent, retryAfterMs } = quota.admit(this.#audience.getView(), now);
     this.#reports.recordChange(isUrgent);
     if (isAdmitted) return { kind: 'admitted', release: () => this.#release(quota) };
     this.#overQuota.recordRefusal(account.name, tokens);
-    return { kind: 'refused', retryAfterMs };
+    return { kind: 'refused', retryAfterMs, isLearning: now < this.#unsureUntil };
   }
 
   /** Requests of an account that are admitted per second over the fleet, lately. */
   getFleetRate(accountName: string): number {
     const quota = this.#table.find(accountName);
-    return quota?.getFleetRate(this.#audience.buildView(), this.#now) ?? 0;
+    return quota?.getFleetRate(this.#audience.getView(), this.#now) ?? 0;
   }
 
   /** Takes in a datagram of another daemon; returns whether it was valid. */
@@ -151,7 +160,7 @@
     const now = this.#now;
     const heard = this.#audience.recordReport(report, address);
     if (!heard) return;
-    const view = this.#audience.buildView();
+    const view = this.#audience.getView();
     const sender = { id, startId, startedAt: now - ageMs, isLearning, ...heard };
     const isFollower = !view.dispatcherIds.includes(id);
     usages.forEach((usage) => {
@@ -174,6 +183,7 @@
     if (shouldReset) {
       this.#table.list().forEach((quota) => quota.reset(now));
       this.#learningUntil = now + LEARNING_MS;
+      this.#unsureUntil = now + UNSURE_MS;
       this.#reports.recordChange(true);
     }
     if (visiblePart === before) return;
@@ -186,7 +196,7 @@
     const { selfId, startId, send } = this.#ports;
     const areFollowersTold = this.#audience.areFollowersDue;
     const addresses = this.#audience.takeRecipients();
-    const view = this.#audience.buildView();
+    const view = this.#audience.getView();
     const reported = this.#chooseReported(now, areFollowersTold);
     this.#audience.recordSent();
     this.#sequence += 1;
--- a/packages/gateway/src/account-usage/usage-audience.ts
+++ b/packages/gateway/src/account-usage/usage-audience.ts
@@ -32,8 +32,12 @@
 const TOLD_MS = 28_000;
 /** A longer time between two refreshes means that this daemon did not run. */
 const MAX_REFRESH_GAP_MS = 1000;
+/** What is seen of the fleet is looked at no more often than this. */
+const REFRESH_MS = 10;
 /** Time in which a report reaches another daemon and is applied there. */
 const ARRIVAL_MS = 25;
+/** The view of the fleet is read several times for each request and each datagram. */
+const VIEW_VALID_MS = 10;
 
 export class UsageAudience {
   readonly #ports: UsageAudiencePorts;
@@ -46,6 +50,10 @@
 
   #wasRecipient = false;
 
+  #wasAdmitting = false;
+
+  #view: { readonly at: number; readonly view: QuotaView };
+
   #reportedAt = Number.NEGATIVE_INFINITY;
 
   #followersToldAt = Number.NEGATIVE_INFINITY;
@@ -61,6 +69,7 @@
     this.#refreshed = { at: clock.now(), wallTime: getWallTime() };
     this.#heard = new HeardDaemons(clock.now());
     this.#reporters = new RecentReporters(selfAddress, clock, listRecipients);
+    this.#view = { at: clock.now(), view: this.#buildView() };
   }
 
   /** Part of the fleet whose use of accounts is known, from 0 to 1. */
@@ -100,7 +109,14 @@
     return [...fixed, ...followers];
   }
 
-  buildView(): QuotaView {
+  /** The fleet as requests and reports see it, which is the same for some milliseconds. */
+  getView(): QuotaView {
+    const now = this.#ports.clock.now();
+    if (now >= this.#view.at + VIEW_VALID_MS) this.#view = { at: now, view: this.#buildView() };
+    return this.#view.view;
+  }
+
+  #buildView(): QuotaView {
     const { selfId, listDispatcherIds, isRecipient } = this.#ports;
     const isFollower = !isRecipient();
     return {
@@ -140,6 +156,10 @@
     const now = clock.now();
     const wallTime = getWallTime();
     const gapMs = Math.max(now - this.#refreshed.at, wallTime - this.#refreshed.wallTime);
+    const isKnownAdmitting = !isAdmitting || this.#wasAdmitting;
+    if (gapMs < REFRESH_MS && wallTime >= this.#refreshed.wallTime && isKnownAdmitting)
+      return false;
+    this.#wasAdmitting = isAdmitting;
     this.#refreshed = { at: now, wallTime };
     const isTold = now < this.#reportedAt + TOLD_MS;
     const hasBegun = isRecipient() ? !this.#wasRecipient : isAdmitting && !isTold;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -606,9 +606,12 @@
       this.#recorder.recordEnd(request, end);
       onEnd(end);
     };
-    return serveWithinQuota(this.#quotas, request, handleEnd, (admitted, onAdmittedEnd) =>
-      this.#services.serve(admitted, onAdmittedEnd),
-    );
+    const serving = {
+      clock: this.#clock,
+      quotas: this.#quotas,
+      serve: this.#services.serve.bind(this.#services),
+    };
+    return serveWithinQuota(serving, request, handleEnd);
   }
 
   #createPeerServer(): Server {
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -92,8 +92,9 @@
     this.queue = new ServiceQueue({
       ...ports,
       countSlots: (now, meanAttemptMs) => this.#countSlots(now, meanAttemptMs),
+      // Suspects are used, too, where a service is short; without them it would seem so at each failure.
       countAllSlots: () =>
-        this.#listCounted(ports.clock.now()).reduce((sum, { record }) => sum + record.slots, 0),
+        this.#listUsable(new Set()).reduce((sum, { record }) => sum + record.slots, 0),
     });
   }
 
