--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -444,7 +444,9 @@
     } else this.#refuseHopeless(this.#buildEntry(), 'retry-budget');
   }
 
-  get #claim(): RetryClaim {
+  /** Requests leave a part of the budget to others only while many are shed and need it. */
+  get #claim(): RetryClaim | undefined {
+    if (!this.#scheduler.isSheddingAtRandom) return undefined;
     const isOverShare = this.#scheduler.queue.isOverShare(this.#request);
     return { priority: this.#request.priority, shedCount: this.#shedCount, isOverShare };
   }
--- a/packages/gateway/src/requests/service-queue-types.ts
+++ b/packages/gateway/src/requests/service-queue-types.ts
@@ -34,6 +34,8 @@
   readonly allowance: SlidingWindowRetryBudgetSettings;
   /** Counts the slots that this daemon may use, given the mean time of an attempt. */
   readonly countSlots: (now: number, meanAttemptMs: number) => number;
+  /** Whether most upstreams of the service shed requests at random. */
+  readonly hasRandomShedding: () => boolean;
   /** Counts the slots of the service that may be used, by this daemon and others. */
   readonly countAllSlots: () => number;
   /** Returns this daemon's part of an account's requests; undefined if it is unknown. */
--- a/packages/gateway/src/requests/service-queue.test.ts
+++ b/packages/gateway/src/requests/service-queue.test.ts
@@ -24,6 +24,7 @@
       random: createRandom(5),
       allowance: { windowMs: 1000, ratio: 0, fleetSlack: 1, getSlackShare: () => 1 },
       countSlots: () => 10,
+      hasRandomShedding: () => false,
       countAllSlots: () => 10,
       findOwnPart: () => undefined,
     });
--- a/packages/gateway/src/requests/service-queue.ts
+++ b/packages/gateway/src/requests/service-queue.ts
@@ -100,8 +100,7 @@
 
   /** Whether the retry budget has room for a test that fails. */
   get mayTest(): boolean {
-    const { allowance } = this;
-    return allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_TESTS && !allowance.isRunningDown;
+    return this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_TESTS && !this.#areRetriesScarce;
   }
 
   /** Counts a new request towards the retry budget, the arrival rate and its account's share. */
@@ -129,7 +128,15 @@
   /** Takes a hedge from the retry budget if enough of the budget is left. */
   takeHedge(): boolean {
     const isEnoughLeft = this.allowance.getShareLeft() >= MIN_BUDGET_SHARE_FOR_HEDGES;
-    return isEnoughLeft && !this.allowance.isRunningDown && this.allowance.takeRetry();
+    return isEnoughLeft && !this.#areRetriesScarce && this.allowance.takeRetry();
+  }
+
+  /**
+   * Whether requests that are shed need more retries than return. In normal operation tests and hedges
+   * keep theirs, since they find out which upstreams fail.
+   */
+  get #areRetriesScarce(): boolean {
+    return this.#ports.hasRandomShedding() && this.allowance.isRunningDown;
   }
 
   /** The highest failure probability at which a request is sent now rather than queued. */
--- a/packages/gateway/src/requests/service-scheduler.ts
+++ b/packages/gateway/src/requests/service-scheduler.ts
@@ -92,6 +92,7 @@
     this.queue = new ServiceQueue({
       ...ports,
       countSlots: (now, meanAttemptMs) => this.#countSlots(now, meanAttemptMs),
+      hasRandomShedding: () => this.isSheddingAtRandom,
       // Suspects are used, too, where a service is short; without them it would seem so at each failure.
       countAllSlots: () =>
         this.#listUsable(new Set()).reduce((sum, { record }) => sum + record.slots, 0),
