--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -205,6 +205,19 @@
     expect([sent.length, describeEnd()]).to.deep.equal([1, '503 not-run']);
   });
 
+  // Failures reached the callers of repeatable requests while urgent requests left their retries unused.
+  it('gets a retry in normal operation although most requests are more urgent', async () => {
+    desk = createDesk(2);
+    desk.applyRecords(['u1', 'u2', 'u3'].map((id) => buildUpstreamRecord(id)));
+    Array.from({ length: 8 }).forEach(() =>
+      desk.queue.recordArrival(buildRoutedRequest('urgent', now, 'unsafe', { priority: 0 })),
+    );
+    setAll(buildAnswerEnd(500));
+    start('safe', { priority: 2 });
+    await wait(20);
+    expect(sent).to.have.length(2);
+  });
+
   it('is sent no more often than its route allows while all shed, and refused at once without budget', async () => {
     setAll(SHED);
     desk = createDesk(1.2);
