Name the bound of strict revocation in the product's words

Cause: the gateway's settings had the platform's name for it. Change: isRevocationStrict; the adapter translates.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -500,7 +500,7 @@
       selfId: id,
       dataCentre,
       readerCount: dispatchersPerDataCentre,
-      isStrict: bounds.strictRevocation,
+      isStrict: bounds.isRevocationStrict,
       revocationMs: bounds.revocationMs,
       replica: this.#replica,
       fleet: this.#fleet,
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -29,7 +29,7 @@
   /** Longest time for which callers may cache a directory response. */
   maxDirectoryHoldMs: z.number().positive().default(5000),
   /** Whether a removed key must be refused everywhere within a time, in touch with the store or not. */
-  strictRevocation: z.boolean().default(false),
+  isRevocationStrict: z.boolean().default(false),
   /** Time from the removal of a key until no request that bears it may be sent to an upstream. */
   revocationMs: z.number().positive().default(5000),
   /** Any span of this length counts for the quotas of client accounts. */
