--- a/review/lib-2/scene.mjs
+++ b/review/lib-2/scene.mjs
@@ -231,6 +231,7 @@
         path: request.url,
         body: Buffer.concat(chunks),
         tenant: request.headers['x-tenant-id'],
+        hasKey: request.headers.authorization !== undefined,
       };
       this.runs.push(run);
       setTimeout(() => {
@@ -294,6 +295,9 @@
   'retryBudgetSlack=56,recoveryS=15,ttl_max_s=5,probesPerS=3,floorShare=0.7',
 ].join(',');
 
+/** `graceS`. */
+const GRACE_MS = 6000;
+
 /** Gateways that know each other, each on a loopback address of its own. */
 export class Fleet {
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
@@ -370,9 +374,10 @@
     );
   }
 
-  launch(gateway) {
+  /** Starts a gateway; another build than that of the deploy file can be named. */
+  launch(gateway, program = 'target/baobabline.mjs') {
     const log = this.logs ? openSync(join(this.logs, `${gateway.name}.log`), 'a') : 'ignore';
-    const child = spawn(process.execPath, ['--max-old-space-size=200', 'target/baobabline.mjs'], {
+    const child = spawn(process.execPath, ['--max-old-space-size=200', program], {
       cwd: ROOT,
       env: { PATH: process.env.PATH, HOME: process.env.HOME, BAOBABLINE_SETTINGS: gateway.file },
       stdio: ['ignore', log, log],
@@ -384,12 +389,24 @@
     });
   }
 
-  async start() {
+  async start(program) {
     await this.prepare();
-    this.gateways.forEach((gateway) => this.launch(gateway));
+    this.gateways.forEach((gateway) => this.launch(gateway, program));
     return this.waitReady();
   }
 
+  /** Stops a gateway as the platform does, and starts it again; returns whether it became ready. */
+  async replace(gateway, program) {
+    const { child } = gateway;
+    const exited = new Promise((resolve) => child.once('exit', resolve));
+    child.kill('SIGTERM');
+    const timer = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
+    await exited;
+    clearTimeout(timer);
+    this.launch(gateway, program);
+    return waitFor(async () => this.isReady(gateway), 5000);
+  }
+
   async waitReady() {
     const ready = await Promise.all(
       this.gateways.map((gateway) => waitFor(async () => this.isReady(gateway), 15_000)),
