--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,7 +11,7 @@
 commit=$(sed -n 's/^production = "\(.*\)"$/\1/p' ../deploy/system.toml)
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-git -C "$root" archive "$commit" | tar -x -C "$work"
+git -c safe.directory='*' -C "$root" archive "$commit" | tar -x -C "$work"
 ln -s "$root/node_modules" "$work/node_modules"
 for folder in "$root"/packages/*/node_modules; do
   [ -e "$folder" ] || continue
