Take every value of a configuration that the platform allows

The name of an account had the pattern of a header text without blanks; rates, ranks, weights, the numbers of keys and parts, and the lengths of names had upper bounds as well.

--- a/packages/core/src/accounts/types.ts
+++ b/packages/core/src/accounts/types.ts
@@ -5,26 +5,26 @@
 import * as z from 'zod';
 
 import {
-  headerTextField,
+  allowedRateField,
   MAX_ACCOUNTS,
   MAX_KEYS_PER_ACCOUNT,
   priorityField,
-  rateField,
+  textField,
 } from '../untrusted/index.js';
 
 /** SHA-256 in base64url without padding. */
 const KEY_DIGEST_PATTERN = /^[A-Za-z0-9_-]{43}$/;
 
 const clientAccountSchema = z.object({
-  /** Sent to upstreams in a header. */
-  name: headerTextField,
+  /** Sent to upstreams in a header; a platform encodes what a header cannot hold. */
+  name: textField.min(1),
   keyDigests: z
     .array(z.string().regex(KEY_DIGEST_PATTERN, 'must be a digest'))
     .max(MAX_KEYS_PER_ACCOUNT),
   /** Requests per second over all daemons; undefined if the account has no quota. */
-  ratePerSecond: rateField.positive().optional(),
+  ratePerSecond: allowedRateField.pipe(z.number().positive()).optional(),
   /** Requests that it may send at once beside its rate. */
-  burst: rateField.default(0),
+  burst: allowedRateField.default(0),
   /** Goes before the priority of the route; 0 is the most urgent. */
   priority: priorityField.optional(),
 });
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -10,9 +10,9 @@
   durationField,
   MAX_PARTS,
   MAX_ROUTES,
-  nameField,
   pathPrefixField,
   priorityField,
+  textField,
   weightField,
 } from '../untrusted/index.js';
 
@@ -23,16 +23,16 @@
 export const ROUTE_KINDS = ['safe', 'unsafe', 'upload', 'download'] as const;
 
 const routePartSchema = z.object({
-  service: nameField,
+  service: textField,
   /** Share of the route's requests, relative to the other parts. */
   weight: weightField,
 });
 
 const routeSchema = z.object({
   /** Stays the same across configurations; all other fields of a route may change. */
-  id: nameField,
+  id: textField,
   /** Host name in lower case, without a port. */
-  host: nameField,
+  host: textField,
   /** Prefix of the request's path. Begins and ends with a slash. */
   prefix: pathPrefixField,
   kind: z.enum(ROUTE_KINDS),
--- a/packages/core/src/untrusted/fields.ts
+++ b/packages/core/src/untrusted/fields.ts
@@ -11,14 +11,12 @@
 
 /** The longest time that a timer of Node.js can wait; with a longer one it fires at once. */
 export const MAX_TIMER_MS = 2 ** 31 - 1;
-/** Names of services, hosts, routes, data centres and daemons; the store's keys have 200 bytes. */
+/** Names in entries of upstreams, settings and messages; the store's keys have 200 bytes. */
 const MAX_NAME_LENGTH = 1024;
-/** A request line with a longer path is refused by the parser of HTTP. */
-const MAX_PATH_LENGTH = 64 * 1024;
 const MAX_PORT = 65_535;
 const MAX_SLOTS = 1_000_000;
 /** Sums of weights stay exact. */
-const MAX_WEIGHT = 1e9;
+export const MAX_WEIGHT = 1e9;
 /** The latest time that a date can hold, in Unix milliseconds. */
 const MAX_DATE_MS = 8.64e15;
 const MAX_RATE = 1e9;
@@ -28,15 +26,20 @@
 export const MAX_MEMBERS = 10_000;
 export const MAX_RECORDS = 200_000;
 export const MAX_ROUTES = 100_000;
-export const MAX_PARTS = 1000;
+export const MAX_PARTS = 100_000;
 export const MAX_ACCOUNTS = 100_000;
-export const MAX_KEYS_PER_ACCOUNT = 10_000;
+export const MAX_KEYS_PER_ACCOUNT = 1_000_000;
 
 /**
- * Visible characters of Latin-1, in which headers are sent. Others would end the header, or be cut
- * to a byte that does.
+ * Visible characters of Latin-1, in which headers are sent, and blanks between them. Others would end
+ * the header, be cut to a byte that does, or be left out by its reader.
  */
-const HEADER_TEXT_PATTERN = /^[\x21-\x7e\xa1-\xff]+$/;
+const HEADER_TEXT_PATTERN = /^[\x20-\x7e\xa1-\xff]+$/;
+
+/** Whether a header can hold a text as it is. */
+export function isHeaderText(text: string): boolean {
+  return HEADER_TEXT_PATTERN.test(text) && !text.startsWith(' ') && !text.endsWith(' ');
+}
 
 export const nameField = z.string().min(1).max(MAX_NAME_LENGTH);
 
@@ -44,15 +47,18 @@
 export const labelField = z.string().max(MAX_NAME_LENGTH);
 
 /** An identifier that is sent in a header. */
-export const headerTextField = nameField.regex(
-  HEADER_TEXT_PATTERN,
-  'must be visible characters that a header can hold',
-);
+export const headerTextField = nameField.refine(isHeaderText, {
+  error: 'must be characters that a header can hold',
+});
+
+/** A text of any length; the size of the whole message or record bounds it. */
+export const textField = z.string();
 
 export const pathPrefixField = z
   .string()
-  .max(MAX_PATH_LENGTH)
-  .regex(/^\/(.*\/)?$/, 'must begin and end with a slash');
+  .refine((prefix) => prefix.startsWith('/') && prefix.endsWith('/'), {
+    error: 'must begin and end with a slash',
+  });
 
 /** An address that needs no name look-up. */
 export const ipAddressField = z.union([z.ipv4(), z.ipv6()], 'must be an IP address');
@@ -65,8 +71,11 @@
 
 export const slotsField = z.int().min(1).max(MAX_SLOTS);
 
-/** Rank of a request among others; 0 is the most urgent. */
-export const priorityField = z.int().min(0).max(MAX_PRIORITY);
+/** Rank of a request among others; 0 is the most urgent, and the last rank takes in all after it. */
+export const priorityField = z
+  .number()
+  .min(0)
+  .transform((rank) => Math.min(Math.floor(rank), MAX_PRIORITY));
 
 export const weightField = z.number().min(0).max(MAX_WEIGHT);
 
@@ -91,6 +100,12 @@
 /** A part of a rate per second. */
 export const rateField = z.number().min(0).max(MAX_RATE);
 
+/** Requests per second that operators allow; a rate beyond all that a fleet serves is no limit. */
+export const allowedRateField = z
+  .number()
+  .min(0)
+  .transform((rate) => Math.min(rate, MAX_RATE));
+
 /** A number of requests, or a hash of 32 bits. */
 export const countField = z
   .int()
--- a/packages/core/src/untrusted/index.ts
+++ b/packages/core/src/untrusted/index.ts
@@ -1,5 +1,6 @@
 export {
   ageField,
+  allowedRateField,
   buildTolerantList,
   counterField,
   countField,
@@ -8,6 +9,7 @@
   eraField,
   headerTextField,
   ipAddressField,
+  isHeaderText,
   labelField,
   listenPortField,
   MAX_ACCOUNTS,
@@ -19,6 +21,7 @@
   MAX_RECORDS,
   MAX_ROUTES,
   MAX_TIMER_MS,
+  MAX_WEIGHT,
   nameField,
   pathPrefixField,
   portField,
@@ -26,5 +29,6 @@
   rateField,
   revisionField,
   slotsField,
+  textField,
   weightField,
 } from './fields.js';
