Confirm no key lease by a configuration that cannot be used

Cause: the reader of the store confirmed the key lease whenever a call had succeeded, though what the call showed was not in force. An unusable value, an unreadable item or a removal became a record without content, which leaves the configuration in force and no trace, so that followers and daemons that began to read later did not know of it either.

While it lasts, no call to the store renews the lease, and unknown keys and routes get 503 with a Retry-After instead of 401 and 404. A gauge and a log line say so. The lease, and with it the removed key, ends within revokeS.

--- a/packages/core/src/replication/replica.test.ts
+++ b/packages/core/src/replication/replica.test.ts
@@ -54,6 +54,75 @@
     expect(replica.configuration?.version).to.equal(8);
   });
 
+  describe('while the store holds a configuration that it cannot use', () => {
+    const key = 'op/config';
+    const seven: StoredRecord = { key, revision: 4, configuration: buildConfiguration(7) };
+    const apply = (replica: Replica, record: StoredRecord, isWhole = false, era = 1): void => {
+      const { revision } = record;
+      replica.applyStoreChanges(era, { records: [record], revision, isWhole }, 0);
+    };
+    const create = (): Replica => {
+      const replica = new Replica();
+      apply(replica, seven, true);
+      return replica;
+    };
+
+    it('keeps the one in force and says so, until a usable one is written', () => {
+      const replica = create();
+      expect(replica.unusableConfiguration).to.equal(undefined);
+      apply(replica, { key, revision: 6 });
+      expect(replica.configuration?.version).to.equal(7);
+      expect(replica.unusableConfiguration).to.include({ era: 1, revision: 6 });
+      apply(replica, { ...seven, revision: 5 });
+      expect(replica.unusableConfiguration).to.include({ revision: 6 });
+      apply(replica, { key, revision: 8 });
+      // Another daemon that could not use it may have told of it first.
+      apply(replica, { key, revision: 8, configuration: buildConfiguration(9) });
+      expect(replica.unusableConfiguration).to.equal(undefined);
+      apply(replica, { key, revision: 7 });
+      expect(replica.unusableConfiguration).to.equal(undefined);
+      expect(replica.configuration?.version).to.equal(9);
+    });
+
+    it('tells other daemons, whatever they know already', () => {
+      const replica = create();
+      const follower = new Replica();
+      follower.applyChanges(replica.listChangesSince(follower.known), 0);
+      apply(replica, { key, revision: 6 });
+      follower.applyChanges(replica.listChangesSince(follower.known), 0);
+      expect(follower.unusableConfiguration).to.include({ revision: 6 });
+      expect(replica.listChangesSince(follower.known).records).to.deep.equal([]);
+      const starting = new Replica();
+      starting.applyChanges(follower.listChangesSince(starting.known), 0);
+      expect(starting.configuration?.version).to.equal(7);
+      expect(starting.unusableConfiguration).to.include({ revision: 6 });
+    });
+
+    it('counts a key that a whole read does not show as one, also at other daemons', () => {
+      const replica = create();
+      const follower = new Replica();
+      follower.applyChanges(replica.listChangesSince(follower.known), 0);
+      apply(replica, { ...buildRecord('a', 4) }, true);
+      expect(replica.unusableConfiguration).to.include({ era: 1 });
+      follower.applyChanges(replica.listChangesSince(follower.known), 0);
+      expect(follower.unusableConfiguration).to.include({ era: 1 });
+      apply(replica, { ...seven, revision: 5 });
+      expect(replica.unusableConfiguration).to.equal(undefined);
+      follower.applyChanges(replica.listChangesSince(follower.known), 0);
+      expect(follower.unusableConfiguration).to.equal(undefined);
+    });
+
+    it('begins anew with a store that came back from a copy without it', () => {
+      const replica = create();
+      apply(replica, { key, revision: 6 });
+      apply(replica, { ...seven, revision: 5 }, true, 2);
+      expect(replica.unusableConfiguration).to.equal(undefined);
+      expect(replica.configuration?.version).to.equal(7);
+      apply(replica, { key, revision: 6 }, false, 2);
+      expect(replica.unusableConfiguration).to.include({ era: 2, revision: 6 });
+    });
+  });
+
   it('has the configuration of another daemon unless that would replace its own', () => {
     const key = 'op/config';
     const build = (version: number, era: number, revision: number, copyEnd = 0): Replica => {
--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -12,6 +12,7 @@
 import { RecordOrder } from './record-order.js';
 import { RevisionLog } from './revision-log.js';
 import { StoreEras } from './eras.js';
+import { UnusableConfiguration } from './unusable-configuration.js';
 import type { EraStarts, StorePosition } from './eras.js';
 import type {
   ConfigurationPosition,
@@ -103,7 +104,11 @@
   #upstreams: readonly RegisteredUpstream[] | undefined;
 
   /** The record of the configuration in force. */
-  #configured: (StorePosition & { readonly configuration: RoutingConfiguration }) | undefined;
+  #configured:
+    | (StorePosition & { readonly key: string; readonly configuration: RoutingConfiguration })
+    | undefined;
+
+  readonly #unusable = new UnusableConfiguration();
 
   /** The last read of the whole store that showed which keys are missing, here or at a peer. */
   #completeAt: StorePosition | undefined;
@@ -186,6 +191,15 @@
     return { era, revision, version: configuration.version, eras: this.#eras.list() };
   }
 
+  /**
+   * Where the store holds a configuration that this daemon cannot use, or none, in the place of the one
+   * in force; undefined if the one in force is the newest that is known.
+   */
+  get unusableConfiguration(): StorePosition | undefined {
+    const { record } = this.#unusable;
+    return record?.era === this.era ? record : undefined;
+  }
+
   /**
    * Whether a configuration in force at another daemon would not replace the one in force here. It is
    * open while that daemon knows more of the eras than this one.
@@ -236,6 +250,7 @@
     this.recordEra(era, revision, now);
     if (isWhole) this.#recordWholeRead(era, revision, keepsMissing);
     const read = records.map((record) => ({ ...record, era }));
+    if (isWhole) this.#recordMissingConfiguration(read, { era, revision });
     read.forEach((record) => this.#refreshBound(record, now));
     const accepted = this.#acceptAll(read, now);
     const removed = isWhole && !keepsMissing ? this.#removeMissing(read, era, revision, now) : [];
@@ -276,7 +291,7 @@
       ? this.#rows.list()
       : rows.filter(({ era, revision }) => revision > findKnownRevision(known, era));
     return {
-      records: changed.map(toRecord),
+      records: [...changed.map(toRecord), ...this.#listUnusable(isWhole ? [] : known)],
       known: this.#known,
       eras: this.#eras.list(),
       completeAt: this.#completeAt,
@@ -284,6 +299,30 @@
     };
   }
 
+  /**
+   * The record that stands for an unusable configuration, which no row holds. It comes behind the row of
+   * the one in force, so that a daemon that takes both knows that the later one exists.
+   */
+  #listUnusable(known: KnownRevisions): readonly PublishedRecord[] {
+    const { record } = this.#unusable;
+    return record && record.revision > findKnownRevision(known, record.era) ? [record] : [];
+  }
+
+  /** Takes in that a read of the whole store did not show the key of the configuration in force. */
+  #recordMissingConfiguration(
+    read: readonly PublishedRecord[],
+    { era, revision }: StorePosition,
+  ): void {
+    const key = this.#configured?.key;
+    if (key === undefined || read.some((record) => record.key === key)) return;
+    this.#recordStoredConfiguration({ key, era, revision: revision + AFTER_REVISION });
+  }
+
+  #recordStoredConfiguration(record: PublishedRecord): void {
+    if (record.key !== this.#configured?.key) return;
+    this.#unusable.recordStored(record, this.#configured);
+  }
+
   #recordWholeRead(era: number, to: number, keepsMissing: boolean): void {
     this.#recordGap([[era, to]]);
     const from =
@@ -322,8 +361,8 @@
 
   /** Removals that complete reads have shown belong to what is known at their revision. */
   #raiseKnown(known: KnownRevisions): void {
-    const ends = this.#rows
-      .list()
+    const { record: unusable } = this.#unusable;
+    const ends = [...this.#rows.list(), ...(unusable ? [unusable] : [])]
       .filter(({ revision }) => !Number.isInteger(revision))
       .map(({ era, revision }): KnownRevisions[number] => [era, revision]);
     const merged = mergeKnown(this.#known, known);
@@ -408,6 +447,8 @@
 
   /** Lowers the bound of an era if a revision holds something else than in the era before. */
   #refreshBound(record: PublishedRecord, now: number): void {
+    // A configuration that only the sender cannot use says nothing about what its revision held.
+    if (record.key === this.#configured?.key && isEmptyRecord(record)) return;
     const logged = this.#log.find(record);
     if (!logged) return;
     const [earlier, later] = logged.era < record.era ? [logged, record] : [record, logged];
@@ -421,6 +462,7 @@
   }
 
   #accept(record: PublishedRecord, now: number): boolean {
+    this.#recordStoredConfiguration(record);
     const known = this.#rows.get(record.key);
     if (known && !this.#order.isNewer(record, known)) {
       if (record.revision === known.revision) this.#log.record(record);
@@ -463,8 +505,10 @@
     const { upstream, configuration } = content;
     this.#rows.put({ ...record, upstream, configuration, id: record.key, removedAt });
     this.#upstreams = undefined;
-    if (configuration)
-      this.#configured = { era: record.era, revision: record.revision, configuration };
+    if (configuration) {
+      const { key, era, revision } = record;
+      this.#configured = { key, era, revision, configuration };
+    }
     this.#reportedRefusals.delete(record.key);
   }
 
--- a/packages/core/src/results/result-codes.ts
+++ b/packages/core/src/results/result-codes.ts
@@ -206,6 +206,13 @@
     outcome: 'not-run',
     title: 'The client account is over its quota',
   },
+  configurationOutOfDate: {
+    code: 213,
+    name: 'configuration-out-of-date',
+    status: 503,
+    outcome: 'not-run',
+    title: 'The daemon cannot use the newest configuration, which may have the route',
+  },
   upstreamLost: {
     code: 300,
     name: 'upstream-lost',
--- a/packages/gateway/src/edge/caller-close.test.ts
+++ b/packages/gateway/src/edge/caller-close.test.ts
@@ -137,6 +137,7 @@
       dialect,
       heldBytes: new HeldBytes(10_000),
       getRoutes: () => routes,
+      isConfigurationNewest: () => true,
       canServe: () => true,
       drawStartupRetryMs: () => 1000,
       keyValidity: UNBOUNDED_KEY_VALIDITY,
--- a/packages/gateway/src/edge/caller-server.test.ts
+++ b/packages/gateway/src/edge/caller-server.test.ts
@@ -98,6 +98,7 @@
   let cut: CutRequest[] = [];
   let exceptions: readonly string[] = [];
   let answers = true;
+  let isConfigurationNewest = true;
   /** Ends requests by their ids, where the test answers them itself. */
   let ends = new Map<string, (end: RequestEnd) => void>();
 
@@ -108,6 +109,7 @@
     cut = [];
     exceptions = [];
     answers = true;
+    isConfigurationNewest = true;
     heldNow = 0;
     heldBytes = new HeldBytes(10_000, { now: () => heldNow });
     const routes = new RouteTable(CONFIGURATION);
@@ -116,6 +118,7 @@
       dialect,
       heldBytes,
       getRoutes: () => routes,
+      isConfigurationNewest: () => isConfigurationNewest,
       canServe: () => true,
       drawStartupRetryMs: () => 1000,
       keyValidity: UNBOUNDED_KEY_VALIDITY,
@@ -213,6 +216,16 @@
     });
   });
 
+  it('denies no route that may be in a configuration which the daemon cannot use', async () => {
+    const request = 'GET /b/x HTTP/1.1\r\nHost: h\r\nx-id: 1\r\n\r\n';
+    expect(await sendRaw(request)).to.include('HTTP/1.1 404');
+    isConfigurationNewest = false;
+    const reply = await sendRaw(request);
+    expect(reply)
+      .to.include('HTTP/1.1 503')
+      .and.to.match(/Retry-After: \d/i);
+  });
+
   it('refuses headers that come too slowly with 408', async () => {
     const { socket, read } = connectRaw();
     socket.write('GET /a/x HTTP/1.1\r\nHost: h\r\n');
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -33,6 +33,8 @@
   /** Accounts for the bodies of requests, and for answers that callers have not taken yet. */
   readonly heldBytes: HeldBytes;
   readonly getRoutes: () => RouteTable | undefined;
+  /** Whether no newer configuration is known that this daemon cannot use. */
+  readonly isConfigurationNewest: () => boolean;
   /** Whether there are routes, and keys that this daemon can vouch for where requests need them. */
   readonly canServe: () => boolean;
   /** Draws the time after which callers try again while there are no routes, in milliseconds. */
@@ -89,6 +91,8 @@
   readonly endings: (() => void)[];
 };
 
+/** Time after which callers try again whose route this daemon may not know of. */
+const OUTDATED_RETRY_SECONDS = 2;
 /** When this daemon may have room again. */
 const NO_ROOM_RETRY_SECONDS = 1;
 
@@ -279,7 +283,8 @@
     const refusal = checkHead(message, routes, this.#ports.drawStartupRetryMs);
     if (refusal) return refusal;
     const route = routes?.find(message.headers.host ?? '', message.url ?? '');
-    if (route && !this.#mayTake(arrivedAt + Math.min(timeAllowedMs, route.timeoutMs))) {
+    if (!route) return this.#createNoRouteRefusal();
+    if (!this.#mayTake(arrivedAt + Math.min(timeAllowedMs, route.timeoutMs))) {
       return createStopRefusal();
     }
     const keyCheck = this.#checkKey(message);
@@ -289,6 +294,13 @@
       : createNoRoomRefusal();
   }
 
+  /** A route that is unknown here may be in a newer configuration that this daemon cannot use. */
+  #createNoRouteRefusal(): RequestError {
+    if (this.#ports.isConfigurationNewest()) return createRefusal('noRoute');
+    const retryAfterSeconds = OUTDATED_RETRY_SECONDS;
+    return createRefusal('configurationOutOfDate', { retryAfterSeconds });
+  }
+
   #mayTake(endAt: number): boolean {
     return this.#stopGate === undefined || this.#stopGate.mayTake(endAt);
   }
@@ -312,7 +324,7 @@
         return;
       }
       const request = this.#buildRequest(exchange, body, keyCheck?.caller);
-      if (!request) this.#refuseInTurn(exchange, createRefusal('noRoute'));
+      if (!request) this.#refuseInTurn(exchange, this.#createNoRouteRefusal());
       else if (!this.#mayTake(request.endAt)) this.#refuseInTurn(exchange, createStopRefusal());
       else this.#takeWhole(exchange, request);
     };
--- a/packages/gateway/src/edge/check-head.ts
+++ b/packages/gateway/src/edge/check-head.ts
@@ -47,6 +47,5 @@
   const { maxHeaderBytes, maxBodyBytes } = routes.configuration.limits;
   if (countHeaderBytes(message) > maxHeaderBytes) return createRefusal('headersTooLarge');
   if (readBodyLength(message) > maxBodyBytes) return createRefusal('bodyTooLarge');
-  if (!routes.find(message.headers.host ?? '', message.url ?? '')) return createRefusal('noRoute');
   return undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,7 +40,7 @@
 import type { TrafficPurpose } from './fleet/index.js';
 import { closeServer, HttpClient, listenOn } from './http/index.js';
 import { FleetKeyLease } from './key-lease/index.js';
-import { RecordExchange } from './record-sync/index.js';
+import { OutdatedConfigurationLog, RecordExchange } from './record-sync/index.js';
 import { createMetricsServer, GatewayMetrics } from './metrics/index.js';
 import { createPeerServer } from './peers/index.js';
 import { FleetRateLimits } from './rate-limits/index.js';
@@ -119,6 +119,8 @@
 
   readonly #keyLease: FleetKeyLease;
 
+  readonly #outdatedLog: OutdatedConfigurationLog;
+
   readonly #recordExchange: RecordExchange;
 
   readonly #reports: DispatcherReports;
@@ -182,6 +184,7 @@
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
     this.#keyLease = this.#createKeyLease();
+    this.#outdatedLog = new OutdatedConfigurationLog(this.#clock, this.#log, this.#replica);
     this.#recordExchange = this.#createRecordExchange();
     this.#reports = this.#createReports();
     this.#rateLimits = new FleetRateLimits({
@@ -394,6 +397,7 @@
     this.#quarantine.runTick();
     this.#linkMonitor.runTick();
     this.#keyLease.runTick();
+    this.#outdatedLog.runTick();
     this.#fleet.announceLoad(this.#advertisedLoad.refresh());
     this.#fleet.announceLoad(this.#advertisedLoad.refresh(this.#downloads.computeRequestWeight()));
   }
@@ -420,6 +424,7 @@
         isStoreUnavailable: () => this.#recordExchange.isStoreAway,
         isDispatcher: () => this.#fleet.isDispatcher,
         getKeyLeaseAgeMs: () => this.#keyLease.ageMs,
+        isConfigurationNewest: () => this.#isConfigurationNewest,
         isCutOff: () => this.#linkMonitor.isCutOff,
         getAccountsOverQuota: () => this.#quotas.overQuotaCount,
         getQuotaVisiblePart: () => this.#quotas.visiblePart,
@@ -580,6 +585,7 @@
       dialect: this.#platform.http,
       heldBytes: this.#heldBytes,
       getRoutes: () => this.#getRoutes(),
+      isConfigurationNewest: () => this.#isConfigurationNewest,
       canServe: () => this.#canServe(),
       drawStartupRetryMs: () =>
         drawStartupRetryMs(this.#clock.now() - this.#startedAt, this.#random),
@@ -594,6 +600,10 @@
     });
   }
 
+  get #isConfigurationNewest(): boolean {
+    return this.#replica.unusableConfiguration === undefined;
+  }
+
   #canServe(): boolean {
     const routes = this.#getRoutes();
     return routes !== undefined && (!routes.accounts || this.#keyLease.validity.mayAccept());
--- a/packages/gateway/src/key-lease/fleet-key-lease.test.ts
+++ b/packages/gateway/src/key-lease/fleet-key-lease.test.ts
@@ -120,6 +120,45 @@
     expect(listAccepting(KEPT)).to.have.length(fleet.daemons.length - 1);
   });
 
+  it('end within the bound where the store holds a configuration that no daemon can use', async () => {
+    fleet.publish(buildConfiguration(1, [KEPT, REMOVED]));
+    await fleet.runFor(3000);
+    expect(listAccepting(REMOVED)).to.have.length(fleet.daemons.length);
+    fleet.publish({ key: 'op/config' });
+    await fleet.runFor(2000);
+    const readers = ['dc-0', 'dc-1', 'dc-2'].flatMap((one) => fleet.listRanked(one).slice(0, 1));
+    // Daemons that have only heard of the unusable one read in the place of these from now on.
+    readers.forEach((one) => Object.assign(one, { isDark: true }));
+    await fleet.runFor(REVOCATION_MS - 2000);
+    expect(listAccepting(REMOVED)).to.deep.equal([]);
+    await fleet.runFor(REVOCATION_MS);
+    expect(listAccepting(REMOVED)).to.deep.equal([]);
+    fleet.publish(buildConfiguration(3, [KEPT]));
+    await fleet.runFor(3000);
+    expect(listAccepting(KEPT)).to.have.length(fleet.daemons.length - readers.length);
+    expect(listAccepting(REMOVED)).to.deep.equal([]);
+  });
+
+  it('end within the bound on daemons that cannot use what their reader can', async () => {
+    fleet.publish(buildConfiguration(1, [KEPT, REMOVED]));
+    await fleet.runFor(3000);
+    const usableByReaders = buildConfiguration(2, [KEPT]);
+    const { configuration } = usableByReaders;
+    const limits = { ...configuration.limits, maxBodyBytes: 'none' } as never;
+    fleet.publish({ ...usableByReaders, configuration: { ...configuration, limits } });
+    await fleet.runFor(REVOCATION_MS);
+    expect(listAccepting(REMOVED)).to.deep.equal([]);
+    const outdated = fleet.daemons.filter(({ replica }) => replica.unusableConfiguration);
+    expect(outdated).to.have.length.within(1, fleet.daemons.length - 3);
+    fleet.daemons
+      .filter((daemon) => !outdated.includes(daemon))
+      .forEach(({ replica }) => expect(replica.configuration?.version).to.equal(2));
+    outdated.forEach(({ keyLease }) => {
+      expect(keyLease.validity.mayReject()).to.equal(false);
+      expect(keyLease.isCutOff).to.equal(true);
+    });
+  });
+
   it('keep their messages, and refuse others of any size', () => {
     const eras: ConfigurationPosition['eras'] = [[1, 3]];
     const configuration = { version: 7, era: 1, revision: 9.5, eras };
--- a/packages/gateway/src/key-lease/fleet-key-lease.ts
+++ b/packages/gateway/src/key-lease/fleet-key-lease.ts
@@ -44,6 +44,8 @@
   readonly onCutOffChange: () => void;
 };
 
+/** Time after which callers try again while the store's configuration cannot be used here. */
+const UNUSABLE_RETRY_AFTER_MS = 2000;
 /** Bounds of the time until the next look whether a round is due. */
 const MIN_TIMER_MS = 5;
 const MAX_TIMER_MS = 200;
@@ -82,7 +84,7 @@
     this.#clock = new AgingClock(clock, getWallTime);
     this.#lease = new KeyLease(computeKeyLeaseSettings(revocationMs), this.#clock);
     this.#renewal = this.#createRenewal();
-    this.validity = dependencies.isStrict ? this.#createValidity() : UNBOUNDED_KEY_VALIDITY;
+    this.validity = this.#createValidity();
     socket.setHandler('lease-question', (body, sender) => {
       const nonce = parseLeaseQuestion(body);
       if (nonce !== undefined) this.#answer(nonce, sender);
@@ -111,14 +113,24 @@
     return this.#isCutOff;
   }
 
-  /** Takes in when the calls of this daemon to the store began. */
+  /**
+   * Takes in when the calls of this daemon to the store began. A call that showed a configuration which
+   * this daemon cannot use does not confirm the one in force: a key may be missing from the newer one.
+   */
   get confirmations(): StoreConfirmations {
     return {
       now: this.#clock.now,
-      recordRead: (beganAt) => this.#renewal.recordRead(beganAt),
+      recordRead: (beganAt) => {
+        if (!this.#isOutdated) this.#renewal.recordRead(beganAt);
+      },
     };
   }
 
+  /** Whether the store is known to hold another configuration than the one in force. */
+  get #isOutdated(): boolean {
+    return this.#dependencies.replica.unusableConfiguration !== undefined;
+  }
+
   /**
    * The accounts by which a waiting request is checked. The lease is about the newest configuration
    * known; a daemon that is not a dispatcher puts its routes in use some time later.
@@ -171,11 +183,18 @@
   }
 
   #createValidity(): KeyValidity {
-    return {
+    const leased: KeyValidity = {
       mayAccept: () => this.#lease.isValid,
       mayReject: () => this.#lease.isFresh,
       getRetryAfterMs: () => this.#renewal.retryAfterMs,
     };
+    const validity = this.#dependencies.isStrict ? leased : UNBOUNDED_KEY_VALIDITY;
+    return {
+      mayAccept: validity.mayAccept,
+      mayReject: () => !this.#isOutdated && validity.mayReject(),
+      getRetryAfterMs: () =>
+        this.#isOutdated ? UNUSABLE_RETRY_AFTER_MS : validity.getRetryAfterMs(),
+    };
   }
 
   #answer(nonce: number, sender: string): void {
--- a/packages/gateway/src/metrics/metrics-registry.ts
+++ b/packages/gateway/src/metrics/metrics-registry.ts
@@ -44,6 +44,8 @@
   readonly isDispatcher: () => boolean;
   /** Age of the key lease; 0 if none is needed, Infinity before the first one. */
   readonly getKeyLeaseAgeMs: () => number;
+  /** Whether no newer configuration is known that this daemon cannot use. */
+  readonly isConfigurationNewest: () => boolean;
   /** Whether this daemon reaches hardly any upstream. */
   readonly isCutOff: () => boolean;
   /** Client accounts with requests refused for their quotas lately. */
@@ -209,6 +211,11 @@
       'Time since the keys were last known to be those of the store; 0 where keys need no lease',
       () => source.getKeyLeaseAgeMs() / MS_PER_SECOND,
     );
+    this.#registerGauge(
+      'baobabline_configuration_outdated',
+      '1 while the store holds a configuration that this daemon cannot use; 0 otherwise',
+      () => Number(!source.isConfigurationNewest()),
+    );
     this.#registerDownloads(source);
     this.#registerProcess();
     EXCEPTION_ORIGINS.forEach((origin) => this.exceptions.inc({ origin }, 0));
--- a/packages/gateway/src/record-sync/index.ts
+++ b/packages/gateway/src/record-sync/index.ts
@@ -1,3 +1,4 @@
+export { OutdatedConfigurationLog } from './outdated-configuration-log.js';
 export { RecordExchange } from './record-exchange.js';
 export { StoreReader } from './store-reader.js';
 export type { StoreConfirmations } from './store-reader.js';
--- a/packages/gateway/src/record-sync/store-reader.ts
+++ b/packages/gateway/src/record-sync/store-reader.ts
@@ -141,7 +141,10 @@
     log.info(isReading ? 'store-reading' : 'store-left-to-others', { revision: replica.revision });
     if (!isReading) return;
     this.#isFirstWatch = true;
-    this.#needsFullRead = replica.revision === 0 || !replica.hasCompleteRead;
+    this.#needsFullRead =
+      replica.revision === 0 ||
+      !replica.hasCompleteRead ||
+      replica.unusableConfiguration !== undefined;
     this.#readEra = replica.era;
     this.#readBoundChanges = replica.boundChanges;
   }
