Pass no status on that promises more than the upstream has stated

Cause: a signed answer below 500 counted as good before its status was compared with those that make this promise, so that only 503 was ever checked.

The verdict is logged.

--- a/packages/cli/src/commands/log-story.ts
+++ b/packages/cli/src/commands/log-story.ts
@@ -64,8 +64,10 @@
         : `, by a share of ${Number(limitShare).toFixed(2)} of its limit of ${limitPerSecond} a second`;
     return `sent to ${upstream} (${reason}) as attempt ${attempt}, ${timeLeftMs} ms left${limit}`;
   },
-  answered: ({ upstream, status, elapsedMs }) =>
-    `${upstream} answered ${status} after ${Number(elapsedMs).toFixed(1)} ms`,
+  answered: ({ upstream, status, verdict, elapsedMs }) => {
+    const doubt = verdict === 'unknown' ? ', which does not show whether it ran' : '';
+    return `${upstream} answered ${status} after ${Number(elapsedMs).toFixed(1)} ms${doubt}`;
+  },
   overdue: ({ upstream, afterMs }) => `${upstream} has not answered for ${afterMs} ms`,
   unsent: ({ upstream, reason }) => `${upstream} could not be reached: ${reason}`,
   lost: ({ upstream, reason }) => `the connection to ${upstream} was lost: ${reason}`,
--- a/packages/core/src/results/result-codes.ts
+++ b/packages/core/src/results/result-codes.ts
@@ -276,6 +276,13 @@
     outcome: 'unknown',
     title: 'The daemon stopped while the upstream had the request',
   },
+  notRunUnstated: {
+    code: 309,
+    name: 'not-run-unstated',
+    status: 502,
+    outcome: 'unknown',
+    title: 'The upstream refused the request without stating that it did not run',
+  },
   internalError: {
     code: 500,
     name: 'internal-error',
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -52,7 +52,7 @@
   /** Records a step of a request; `now` is read from the daemon's clock, in milliseconds. */
   recordStep(request: RoutedRequest, step: RequestStep, now: number): void {
     const { service, arrivedAt, route } = request;
-    const { step: name, reason, status, attempt, upstream, limitPerSecond } = step;
+    const { step: name, reason, status, verdict, attempt, upstream, limitPerSecond } = step;
     if (name === 'sent') {
       this.#record(({ attempts, queueTimes: waits }) => {
         attempts.inc({ service, reason: String(reason) });
@@ -68,7 +68,7 @@
       this.#record(({ refusedWaits }) => refusedWaits.inc({ service, reason: String(reason) }));
     }
     if (FAILED_STEPS.includes(name)) this.#recordFailure(service, name);
-    if (name === 'answered' && Number(status) >= SERVER_ERROR_STATUS) {
+    if (verdict === 'unknown' || (name === 'answered' && Number(status) >= SERVER_ERROR_STATUS)) {
       this.#recordFailure(service, String(status));
     }
     if (name === 'caller-gone') {
--- a/packages/gateway/src/request-recording/request-recorder.ts
+++ b/packages/gateway/src/request-recording/request-recorder.ts
@@ -28,10 +28,9 @@
 ];
 const SERVER_ERROR_STATUS = 500;
 
-function isFailedStep({ step, status }: RequestStep): boolean {
-  return (
-    FAILED_STEPS.includes(step) || (typeof status === 'number' && status >= SERVER_ERROR_STATUS)
-  );
+function isFailedStep({ step, status, verdict }: RequestStep): boolean {
+  const isServerError = typeof status === 'number' && status >= SERVER_ERROR_STATUS;
+  return FAILED_STEPS.includes(step) || verdict === 'unknown' || isServerError;
 }
 
 export class RequestRecorder {
--- a/packages/gateway/src/requests/request-run.test.ts
+++ b/packages/gateway/src/requests/request-run.test.ts
@@ -190,6 +190,45 @@
     expect(describeEnd()).to.equal('502 unknown');
   });
 
+  // Bookings ran twice: callers took a 429 of an upstream that had run them for a promise.
+  [408, 421, 429].forEach((status) =>
+    (['unsafe', 'upload'] as const).forEach((kind) =>
+      it(`is not answered ${status} where it may have run (${kind})`, async () => {
+        setAll(buildAnswerEnd(status));
+        start(kind);
+        await wait(20);
+        expect([sent.length, describeEnd()]).to.deep.equal([1, '502 unknown']);
+        const [end] = ends;
+        expect(end?.kind === 'refused' && end.error.result.name).to.equal('not-run-unstated');
+      }),
+    ),
+  );
+
+  it('is tried again after an answer that does not show whether it ran, where it is safe', async () => {
+    reactions = { u1: buildAnswerEnd(429), u2: buildAnswerEnd(408), u3: buildAnswerEnd(200) };
+    start('safe', { maxAttempts: 3 });
+    await wait(20);
+    expect(describeEnd()).to.equal('answered 200');
+  });
+
+  it('ejects an upstream that goes on to answer so, and none whose callers are at fault', async () => {
+    // Each upstream has one slot, so that three requests at a time go to all of them.
+    const run = async (): Promise<void> => {
+      [1, 2, 3].forEach(() => start('unsafe'));
+      await wait(20);
+    };
+    reactions = { u1: buildAnswerEnd(404), u2: buildAnswerEnd(409), u3: buildAnswerEnd(429) };
+    await Array.from({ length: 10 }).reduce(async (before: Promise<void>) => {
+      await before;
+      await run();
+    }, Promise.resolve());
+    expect(desk.describe().upstreams).to.include({ trusted: 2, suspect: 1 });
+    sent = [];
+    start('unsafe');
+    await wait(20);
+    expect(sent).not.to.deep.equal(['u3']);
+  });
+
   it('goes elsewhere on proof, within attempts and allowance, and then says not-run', async () => {
     setAll(SHED);
     start('unsafe');
--- a/packages/gateway/src/requests/request-run.ts
+++ b/packages/gateway/src/requests/request-run.ts
@@ -19,6 +19,7 @@
 } from '@baobabline/core';
 
 import type { ExchangeEnd, UpstreamAnswer } from '../upstreams/index.js';
+import { isNotRunStatus, judgeAnswer } from './judge-answer.js';
 import { buildRequestHead } from './request-head.js';
 import { buildQueueEntry } from './queue-entry.js';
 import type { QueueEntry } from './queue-entry.js';
@@ -27,13 +28,9 @@
 import type { UpstreamState } from './upstream-state.js';
 import type { PlacedRequest, RequestEnd, RequestStep, RoutedRequest } from './types.js';
 
-const SERVER_ERROR_STATUS = 500;
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 const MS_PER_SECOND = 1000;
 /** Another daemon can take what this one has not passed on as it stops. */
 const STOP_RETRY_MS = 50;
-/** Statuses of an upstream that shed the request, if the answer also states that it did not run. */
-const SHED_STATUSES: readonly number[] = [429, 503];
 
 export class RequestRun implements PlacedRequest {
   readonly #request: RoutedRequest;
@@ -350,15 +347,16 @@
     elapsedMs: number,
   ): void {
     const { status, head } = answer;
-    this.#record({ step: 'answered', upstream: upstreamId, status, elapsedMs, isClosing });
+    const verdict = judgeAnswer(status, head);
+    this.#record({ step: 'answered', upstream: upstreamId, status, verdict, elapsedMs, isClosing });
     this.#dependencies.onBytes('answers', state.record.dataCentre, answer.bodyBytes);
     this.#scheduler.recordReach(upstreamId, true);
     this.#scheduler.recordRateLimit(upstreamId, head.rateLimit, startedAt);
-    if (head.isNotRun) {
-      this.#handleNotRun(state, status);
+    if (verdict === 'shed' || verdict === 'leaving') {
+      this.#handleNotRun(state, verdict);
       return;
     }
-    const isGood = status < SERVER_ERROR_STATUS && (head.isSigned || status >= 300);
+    const isGood = verdict === 'good';
     if (isGood && head.isSigned) {
       this.#dependencies.crashGuard.recordSuccess(this.#request.fingerprint);
     }
@@ -371,10 +369,10 @@
       this.#succeed(answer, upstreamId);
       return;
     }
-    if (head.isSigned && !NOT_RUN_STATUSES.includes(status)) {
-      this.#failedAnswer = { answer, upstreamId };
-    }
-    this.#unknownError ??= createRefusal('answerInvalid');
+    if (verdict === 'failed') this.#failedAnswer = { answer, upstreamId };
+    this.#unknownError ??= createRefusal(
+      isNotRunStatus(status) ? 'notRunUnstated' : 'answerInvalid',
+    );
     this.#tryAgainOrFail(this.#isRepeatable);
   }
 
@@ -389,8 +387,8 @@
     this.#scheduler.far?.recordAnswer(answer, farReason, isGood);
   }
 
-  #handleNotRun(state: UpstreamState, status: number): void {
-    if (SHED_STATUSES.includes(status)) this.#recordShed(state);
+  #handleNotRun(state: UpstreamState, verdict: 'shed' | 'leaving'): void {
+    if (verdict === 'shed') this.#recordShed(state);
     else state.recordLeaving();
     this.#tryAgainOrFail(true);
   }
