--- a/packages/core/src/routes/routes.test.ts
+++ b/packages/core/src/routes/routes.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { mock } from 'node:test';
 
 import { WeightedRoundRobin, RouteTable } from './index.js';
 import type { Route, RoutingConfiguration } from './index.js';
@@ -44,6 +45,15 @@
     expect(table.find('a.example', '/a')).to.equal(undefined);
   });
 
+  // A path of thousands of slashes held the process up: each of its parts was looked up, from the longest.
+  it('looks up no more parts of a path than there are lengths of prefixes', () => {
+    const has = mock.method(Map.prototype, 'has');
+    [1000, 2000].forEach((slashes) => table.find('a.example', `/a/${'/'.repeat(slashes)}`));
+    has.mock.restore();
+    const parts = has.mock.calls.map(({ arguments: [part] }) => part as unknown);
+    expect(parts).to.deep.equal(['/a///', '/a/', '/a///', '/a/']);
+  });
+
   it('ignores the query', () => {
     expect(table.find('a.example', '/a/x?to=/a/b/')?.id).to.equal('short');
     expect(table.find('a.example', '/x?to=/a/b/')).to.equal(undefined);
