Take records and leases only from daemons that decode them alike

Cause: a daemon took what an earlier version had decoded for what the store holds. The version and revision of such a record are those of the whole one, so that neither a watch nor a whole read replaced it later.

The first news of a daemon is fetched; one of another format, or of none, is no source of records, freshness or leases, and the ranks of readers are counted without it. A daemon that knows of such others and of no reader of its own format reads the store itself.

--- a/packages/core/src/replication/index.ts
+++ b/packages/core/src/replication/index.ts
@@ -9,6 +9,7 @@
   mergeKnown,
 } from './known-revisions.js';
 export type { KnownRevisions } from './known-revisions.js';
+export { RECORD_FORMAT } from './record-format.js';
 export { DEFAULT_REPLICA_SETTINGS, Replica } from './replica.js';
 export type { EraChange, RecordConflict, ReplicaHandlers, ReplicaSettings } from './replica.js';
 export { MAX_KNOWN_ERAS, StoreEras } from './eras.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,7 +40,12 @@
 import type { TrafficPurpose } from './fleet/index.js';
 import { closeServer, HttpClient, listenOn } from './http/index.js';
 import { FleetKeyLease } from './key-lease/index.js';
-import { OutdatedConfigurationLog, RecordExchange } from './record-sync/index.js';
+import {
+  OutdatedConfigurationLog,
+  PeerFormats,
+  ReaderRanks,
+  RecordExchange,
+} from './record-sync/index.js';
 import { createMetricsServer, GatewayMetrics } from './metrics/index.js';
 import { createPeerServer } from './peers/index.js';
 import { FleetRateLimits } from './rate-limits/index.js';
@@ -121,6 +126,10 @@
 
   readonly #outdatedLog: OutdatedConfigurationLog;
 
+  readonly #formats = new PeerFormats();
+
+  readonly #ranks: ReaderRanks;
+
   readonly #recordExchange: RecordExchange;
 
   readonly #reports: DispatcherReports;
@@ -183,6 +192,13 @@
     });
     this.#services = this.#createServices();
     this.#fleet = this.#createFleet();
+    this.#ranks = new ReaderRanks({
+      selfId: settings.id,
+      dataCentre: settings.dataCentre,
+      readerCount: settings.dispatchersPerDataCentre,
+      fleet: this.#fleet,
+      formats: this.#formats,
+    });
     this.#keyLease = this.#createKeyLease();
     this.#outdatedLog = new OutdatedConfigurationLog(this.#clock, this.#log, this.#replica);
     this.#recordExchange = this.#createRecordExchange();
@@ -496,15 +512,16 @@
   }
 
   #createKeyLease(): FleetKeyLease {
-    const { id, dataCentre, dispatchersPerDataCentre, bounds } = this.#settings;
+    const { id, dispatchersPerDataCentre, bounds } = this.#settings;
     return new FleetKeyLease({
       clock: this.#clock,
       getWallTime: () => Date.now(),
       random: this.#random,
       log: this.#log,
       selfId: id,
-      dataCentre,
       readerCount: dispatchersPerDataCentre,
+      ranks: this.#ranks,
+      isSource: (address) => this.#recordExchange.isSource(address),
       isStrict: bounds.isRevocationStrict,
       revocationMs: bounds.revocationMs,
       replica: this.#replica,
@@ -552,6 +569,8 @@
       replica: this.#replica,
       source: this.#recordSource,
       confirmations: this.#keyLease.confirmations,
+      formats: this.#formats,
+      ranks: this.#ranks,
       fleet: this.#fleet,
       socket: this.#fleetSocket,
       calls: this.#httpClient,
--- a/packages/gateway/src/key-lease/fleet-key-lease.ts
+++ b/packages/gateway/src/key-lease/fleet-key-lease.ts
@@ -17,7 +17,7 @@
 import type { KeyValidity } from '../caller-keys/index.js';
 import type { FleetSocket } from '../datagrams/index.js';
 import type { FleetLinks } from '../fleet/index.js';
-import type { StoreConfirmations } from '../record-sync/index.js';
+import type { ReaderRanks, StoreConfirmations } from '../record-sync/index.js';
 import {
   formatLeaseAnswer,
   formatLeaseQuestion,
@@ -32,13 +32,15 @@
   readonly random: RandomSource;
   readonly log: Log;
   readonly selfId: string;
-  readonly dataCentre: string;
   /** Number of readers per data centre. */
   readonly readerCount: number;
+  readonly ranks: ReaderRanks;
+  /** Whether the daemon at an address decodes records as this one does. */
+  readonly isSource: (address: string) => boolean;
   readonly isStrict: boolean;
   readonly revocationMs: number;
   readonly replica: Replica;
-  readonly fleet: Pick<FleetLinks, 'roles' | 'isDispatcher'>;
+  readonly fleet: Pick<FleetLinks, 'isDispatcher'>;
   readonly socket: Pick<FleetSocket, 'setHandler' | 'send'>;
   /** Called when the lease is lost or nearly, unlike those of other daemons, and when that ends. */
   readonly onCutOffChange: () => void;
@@ -92,7 +94,8 @@
     });
     socket.setHandler('lease-answer', (body, sender) => {
       const answer = parseLeaseAnswer(body);
-      if (answer && this.isNeeded) this.#renewal.handleAnswer(answer, sender);
+      const isUsed = answer !== undefined && this.isNeeded && dependencies.isSource(sender);
+      if (isUsed) this.#renewal.handleAnswer(answer, sender);
       return answer !== undefined;
     });
   }
@@ -204,16 +207,13 @@
   }
 
   #listSources(): LeaseSources {
-    const { fleet, dataCentre, selfId, readerCount } = this.#dependencies;
-    const { roles } = fleet;
-    const ranked = roles.listRankedDaemons(dataCentre);
+    const { ranks, selfId, readerCount } = this.#dependencies;
+    const ranked = ranks.listNear();
     const isOther = ({ id }: { readonly id: string }): boolean => id !== selfId;
     return {
       nearReaders: ranked.slice(0, readerCount).filter(isOther),
       nearOthers: ranked.slice(readerCount).filter(isOther),
-      farReaders: roles
-        .listTopRanked(readerCount)
-        .filter((member) => member.dataCentre !== dataCentre),
+      farReaders: ranks.listFarReaders(),
     };
   }
 
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -23,4 +23,6 @@
   eras: knownRevisionsSchema,
   completeAt: z.object({ era: eraField, revision: revisionField }).optional(),
   isWhole: z.boolean(),
+  /** How the daemon decodes records; absent in versions before the first format. */
+  format: z.int().optional(),
 });
--- a/packages/gateway/src/record-sync/peer-follower.test.ts
+++ b/packages/gateway/src/record-sync/peer-follower.test.ts
@@ -76,6 +76,7 @@
       decision: () => undefined,
     },
     selfId: 'follower',
+    isKnownSource: () => true,
     listFollowedReaders: () => [
       { member: READER, pollMs: POLL_MS, wantsPush: true, needsHelp: false },
     ],
--- a/packages/gateway/src/record-sync/peer-follower.ts
+++ b/packages/gateway/src/record-sync/peer-follower.ts
@@ -35,6 +35,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly selfId: string;
+  /** Whether a daemon has said that it decodes records as this one does. */
+  readonly isKnownSource: (member: Member) => boolean;
   /** Lists the readers to follow at present. */
   readonly listFollowedReaders: () => readonly FollowedReader[];
   /** What other daemons have to send changes since. */
@@ -113,6 +115,10 @@
     const heardAt = this.#dependencies.clock.now();
     if (state) this.#states.set(news.id, { ...state, heardAt, hasAnswered: true });
     this.#dependencies.onHeard(news.id);
+    if (!this.#dependencies.isKnownSource(member)) {
+      this.#fetchChanges(member, news);
+      return;
+    }
     this.#dependencies.onEras(news.eras);
     const known = this.#dependencies.getRequested();
     if (hasAllKnown(known, news.known)) this.#acceptClaim(news, news.claim);
@@ -120,19 +126,20 @@
     else this.#fetchChanges(member, news);
   }
 
+  /** Fetches what a daemon knows beyond this one; does nothing while a fetch from it is in progress. */
+  fetchFrom(member: Member): void {
+    this.#startFetch(member);
+  }
+
   /** Fetches what a daemon knows of earlier eras; does nothing while such a fetch is in progress. */
   fetchLostSpan(member: Member): void {
     if (this.#isFetchingLostSpan) return;
     this.#isFetchingLostSpan = true;
-    const { fetch, getRequested, onChanges, log } = this.#dependencies;
-    fetch(member, getRequested())
-      .then(onChanges)
-      .catch((error: Error) =>
-        log.warn('fetch-failed', { daemon: member.id, reason: error.message }),
-      )
-      .finally(() => {
+    this.#startFetch(member, {
+      onEnd: () => {
         this.#isFetchingLostSpan = false;
-      });
+      },
+    });
   }
 
   #runReader(followed: FollowedReader, now: number): void {
@@ -184,20 +191,38 @@
 
   /** The claim held when the update was sent, so the duration of the fetch is added to its age. */
   #fetchChanges(member: Member, news: RecordUpdate): void {
-    if (this.#fetching.has(member.id)) return;
-    const { fetch, getRequested, onChanges, log, clock } = this.#dependencies;
+    const { clock } = this.#dependencies;
     const startedAt = clock.now();
     const { claim } = news;
+    this.#startFetch(member, {
+      onApplied: () => {
+        const spentMs = clock.now() - startedAt;
+        this.#acceptClaim(news, claim && { ...claim, ageMs: claim.ageMs + spentMs });
+      },
+    });
+  }
+
+  #startFetch(
+    member: Member,
+    { onApplied, onEnd }: { readonly onApplied?: () => void; readonly onEnd?: () => void } = {},
+  ): void {
+    if (this.#fetching.has(member.id)) {
+      onEnd?.();
+      return;
+    }
+    const { fetch, getRequested, onChanges, log } = this.#dependencies;
     this.#fetching.add(member.id);
     fetch(member, getRequested())
       .then((changes) => {
         onChanges(changes);
-        const spentMs = clock.now() - startedAt;
-        this.#acceptClaim(news, claim && { ...claim, ageMs: claim.ageMs + spentMs });
+        onApplied?.();
       })
       .catch((error: Error) =>
         log.warn('fetch-failed', { daemon: member.id, reason: error.message }),
       )
-      .finally(() => this.#fetching.delete(member.id));
+      .finally(() => {
+        this.#fetching.delete(member.id);
+        onEnd?.();
+      });
   }
 }
--- a/packages/gateway/src/record-sync/record-exchange.ts
+++ b/packages/gateway/src/record-sync/record-exchange.ts
@@ -8,7 +8,13 @@
  * `StoreFallback`), and sends what it has read to the daemons of its data centre. These follow it as
  * a substitute until a reader answers again.
  */
-import { findKnownRevision, Freshness, isPresent, StoreFallback } from '@baobabline/core';
+import {
+  findKnownRevision,
+  Freshness,
+  isPresent,
+  RECORD_FORMAT,
+  StoreFallback,
+} from '@baobabline/core';
 import type {
   RecordChanges,
   Clock,
@@ -30,6 +36,8 @@
 import type { Poll, RecordUpdate } from './messages.js';
 import { PeerFollower } from './peer-follower.js';
 import type { FollowedReader } from './peer-follower.js';
+import type { PeerFormats } from './peer-formats.js';
+import type { ReaderRanks } from './reader-ranks.js';
 import { ReaderSubstitute } from './reader-substitute.js';
 import { RecordFeed } from './record-feed.js';
 import { StoreReader } from './store-reader.js';
@@ -46,10 +54,9 @@
   readonly replica: Replica;
   readonly source: RecordSource;
   readonly confirmations: StoreConfirmations;
-  readonly fleet: Pick<
-    FleetLinks,
-    'roles' | 'membership' | 'isNear' | 'recordHeard' | 'recordLost'
-  >;
+  readonly fleet: Pick<FleetLinks, 'membership' | 'isNear' | 'recordHeard' | 'recordLost'>;
+  readonly formats: PeerFormats;
+  readonly ranks: ReaderRanks;
   readonly socket: Pick<FleetSocket, 'setHandler' | 'send'>;
   readonly calls: Pick<HttpClient, 'send'>;
   readonly onChanged: () => void;
@@ -121,18 +128,32 @@
   }
 
   runTick(): void {
-    this.#dependencies.replica.runTick(this.#dependencies.clock.now());
+    const { replica, clock, formats, fleet } = this.#dependencies;
+    replica.runTick(clock.now());
+    formats.keep(fleet.membership.members.list());
     this.#follower.runTick();
   }
 
   /** Lists the changes that a daemon with this knowledge lacks. */
-  listChangesSince(known: KnownRevisions): RecordChanges {
-    return this.#dependencies.replica.listChangesSince(known);
+  listChangesSince(known: KnownRevisions): RecordChanges & { readonly format: number } {
+    return { ...this.#dependencies.replica.listChangesSince(known), format: RECORD_FORMAT };
+  }
+
+  /**
+   * Whether the daemon at an address decodes records as this one does. One that has not said so yet is
+   * asked, and is no source until then.
+   */
+  isSource(address: string): boolean {
+    const { formats, fleet } = this.#dependencies;
+    const member = fleet.membership.members.list().find((one) => one.address === address);
+    if (!member) return false;
+    const format = formats.judge(member);
+    if (format === 'unknown') this.#follower.fetchFrom(member);
+    return format === 'same';
   }
 
   get #isReader(): boolean {
-    const rank = this.#dependencies.fleet.roles.ownRank;
-    return rank >= 0 && rank < this.#dependencies.readerCount;
+    return this.#dependencies.ranks.isReader;
   }
 
   /** Whether it reads the store for want of a reader, and not by its role. */
@@ -151,7 +172,7 @@
 
   #shouldRead(): boolean {
     const now = this.#dependencies.clock.now();
-    if (!this.#isReader && !this.#isAsked) {
+    if (!this.#isReader && !this.#isAsked && !this.#dependencies.ranks.lacksReader) {
       return this.#fallback.shouldRead(this.#describeSituation(), now);
     }
     this.#waitsSince = now;
@@ -165,11 +186,11 @@
   }
 
   #describeSituation(): FallbackSituation {
-    const { fleet, dataCentre, readerCount } = this.#dependencies;
+    const { ranks, readerCount } = this.#dependencies;
     return {
       staleSince: this.#freshness.computeStaleSince(this.#waitsSince),
-      isNext: this.#freshness.hasClaim && fleet.roles.ownRank === readerCount,
-      candidates: fleet.roles.listRankedDaemons(dataCentre).length,
+      isNext: this.#freshness.hasClaim && ranks.ownRank === readerCount,
+      candidates: ranks.listNear().length,
       isStarting: !this.#freshness.hasClaim,
     };
   }
@@ -216,10 +237,11 @@
 
   /** Takes an update of a followed reader, or of a neighbour that reads for want of a reader. */
   #handleUpdate(news: RecordUpdate): void {
-    const { clock, fleet, dataCentre, selfId } = this.#dependencies;
+    const { clock, fleet, dataCentre, selfId, formats } = this.#dependencies;
     const now = clock.now();
     const isFollowed = this.#follower.isFollowing(news.id);
     const sender = fleet.membership.members.get(news.id);
+    if (sender && formats.judge(sender) === 'foreign') return;
     const isNeighbour = sender?.dataCentre === dataCentre;
     const hasRead = news.claim?.sourceId === news.id && this.#freshness.isFresh(news.claim);
     const isOverdue = !news.claim || this.#freshness.isOverdue(news.claim);
@@ -245,8 +267,8 @@
   }
 
   #listFollowedReaders(): readonly FollowedReader[] {
-    const { fleet, dataCentre, selfId, readerCount } = this.#dependencies;
-    const near = fleet.roles.listRankedDaemons(dataCentre).filter(({ id }) => id !== selfId);
+    const { ranks, selfId, readerCount } = this.#dependencies;
+    const near = ranks.listNear().filter(({ id }) => id !== selfId);
     const needsHelp = this.#needsHelpers;
     const follow = (member: Member): FollowedReader => ({
       member,
@@ -261,9 +283,7 @@
       if (!substitute || readers.includes(substitute)) return followed;
       return [...followed, { ...follow(substitute), needsHelp: true }];
     }
-    const far = fleet.roles
-      .listTopRanked(readerCount)
-      .filter((member) => member.dataCentre !== dataCentre);
+    const far = ranks.listFarReaders();
     if (needsHelp) return [...this.#listHelpers(near), ...far].map(follow);
     return far.map((member) => ({
       member,
@@ -311,10 +331,9 @@
     onChanged();
   }
 
-  async #fetchChanges(
-    { address, peerPort }: Member,
-    known: KnownRevisions,
-  ): Promise<RecordChanges> {
+  /** Throws an error if the daemon decodes records in another way. */
+  async #fetchChanges(member: Member, known: KnownRevisions): Promise<RecordChanges> {
+    const { address, peerPort } = member;
     const { status, text } = await this.#dependencies.calls.send({
       url: `http://${address}:${peerPort}${RECORDS_PATH}`,
       method: 'POST',
@@ -322,7 +341,9 @@
       timeoutMs: FETCH_TIMEOUT_MS,
     });
     if (status !== OK_STATUS) throw new Error(`peer responded with status ${status}`);
-    const { completeAt, ...changes } = changesSchema.parse(JSON.parse(text));
+    const { completeAt, format, ...changes } = changesSchema.parse(JSON.parse(text));
+    this.#dependencies.formats.record(member, format);
+    if (format !== RECORD_FORMAT) throw new Error(`peer has record format ${format ?? 'none'}`);
     return { ...changes, completeAt };
   }
 
@@ -360,11 +381,12 @@
   }
 
   #createFollower(): PeerFollower {
-    const { clock, log, selfId, replica, fleet, socket } = this.#dependencies;
+    const { clock, log, selfId, replica, fleet, formats, socket } = this.#dependencies;
     return new PeerFollower({
       clock,
       log,
       selfId,
+      isKnownSource: (member) => formats.judge(member) === 'same',
       listFollowedReaders: () => this.#listFollowedReaders(),
       getRequested: () => replica.requested,
       sendPoll: (body, { address }) => socket.send('poll', body, address),
--- a/packages/gateway/src/record-sync/simulated-record-fleet.ts
+++ b/packages/gateway/src/record-sync/simulated-record-fleet.ts
@@ -19,6 +19,8 @@
 import type { HttpCall, HttpResponse } from '../http/index.js';
 import { recordsRequestSchema } from '../peers/messages.js';
 import { FleetKeyLease } from '../key-lease/index.js';
+import { PeerFormats } from './peer-formats.js';
+import { ReaderRanks } from './reader-ranks.js';
 import { RecordExchange } from './record-exchange.js';
 
 const STEP_MS = 10;
@@ -59,6 +61,8 @@
   /** Whether it has lost power or its process is frozen: nothing reaches it, and it sends nothing. */
   isDark: boolean;
   isCutFromStore: boolean;
+  /** Whether it is of a version that states no record format and knows no client accounts. */
+  isEarlierVersion: boolean;
 };
 
 type Watch = { readonly finish: () => void };
@@ -184,18 +188,27 @@
       send: (tag: DatagramTag, body: Buffer, address: string) =>
         this.#sendDatagram(find(), tag, body, address),
     };
+    const formats = new PeerFormats();
+    const ranks = new ReaderRanks({
+      selfId: member.id,
+      dataCentre: member.dataCentre,
+      readerCount: 1,
+      fleet: { roles, membership },
+      formats,
+    });
     const keyLease = new FleetKeyLease({
       clock,
       getWallTime: () => this.#now,
       random: createRandom(this.#settings.seed),
       log: SILENT_LOG,
       selfId: member.id,
-      dataCentre: member.dataCentre,
       readerCount: 1,
       isStrict: true,
       revocationMs: REVOCATION_MS,
       replica,
-      fleet: { roles, isDispatcher: false },
+      ranks,
+      isSource: (address) => find().exchange.isSource(address),
+      fleet: { isDispatcher: false },
       socket,
       onCutOffChange: () => undefined,
     });
@@ -213,8 +226,9 @@
         close: () => undefined,
       },
       confirmations: keyLease.confirmations,
+      formats,
+      ranks,
       fleet: {
-        roles,
         membership,
         isNear: (address) => this.#find(address).member.dataCentre === member.dataCentre,
         recordHeard: (id) => membership.recordDirectContact(id),
@@ -235,6 +249,7 @@
       tickPhaseMs: Math.floor((this.#random.next() * TICK_MS) / STEP_MS) * STEP_MS,
       isDark: false,
       isCutFromStore: false,
+      isEarlierVersion: false,
     };
   }
 
@@ -259,7 +274,9 @@
       throw new Error('no answer');
     }
     const { known } = recordsRequestSchema.parse(JSON.parse(body ?? ''));
-    const text = JSON.stringify(to.exchange.listChangesSince(known));
+    const { format, ...changes } = to.exchange.listChangesSince(known);
+    const isStated = from.isEarlierVersion || !to.isEarlierVersion;
+    const text = JSON.stringify(isStated ? { ...changes, format } : changes);
     return { status: 200, headers: {}, text };
   }
 
@@ -274,8 +291,8 @@
 
   async #readAll(from: SimulatedDaemon): Promise<SourceAnswer<StoreChanges>> {
     await this.#connectToStore(from, FULL_READ_TIMEOUT_MS);
-    const changes = { records: this.#records, revision: this.#revision, isWhole: true };
-    return { era: ERA, changes };
+    const records = this.#listDecoded(from);
+    return { era: ERA, changes: { records, revision: this.#revision, isWhole: true } };
   }
 
   async #watch(
@@ -290,10 +307,20 @@
       await wait(timeoutMs);
       throw new Error('the store does not answer');
     }
-    const records = this.#records.filter(({ revision }) => revision > after);
+    const records = this.#listDecoded(from).filter(({ revision }) => revision > after);
     return { era: ERA, changes: { records, revision: this.#revision, isWhole: false } };
   }
 
+  /** The records of the store as a daemon decodes them. */
+  #listDecoded({ isEarlierVersion }: SimulatedDaemon): readonly StoredRecord[] {
+    if (!isEarlierVersion) return this.#records;
+    return this.#records.map(({ configuration, ...record }) => {
+      if (!configuration) return record;
+      const { accounts, ...known } = configuration;
+      return { ...record, configuration: known };
+    });
+  }
+
   async #waitForChange(waitMs: number): Promise<void> {
     await new Promise<void>((resolve) => {
       const watch: Watch = {
