Let the version order configurations in whatever era they were written

Cause: where a record was certainly written in a later era, the era was compared before the version, so that a lower version replaced the one in force, and leases were about it.

Change: the version goes first; the era decides between records of one version.

--- a/packages/core/src/replication/record-order.ts
+++ b/packages/core/src/replication/record-order.ts
@@ -33,13 +33,17 @@
     return decisive !== undefined && decisive > 0;
   }
 
-  /** A later era comes first, then the version. A removal never ends the configuration in force. */
+  /**
+   * The version decides, in whatever era it was written: operators write again what a restore has lost, the
+   * earlier versions before the later ones, and none of these replaces a higher version. A removal never
+   * ends the configuration in force.
+   */
   #listConfigurationSteps(record: OrderedRecord, known: OrderedRecord): readonly number[] {
     if (!record.configuration || !known.configuration) return [-1];
     const versionStep = record.configuration.version - known.configuration.version;
     return this.#isOpen(record, known)
       ? [versionStep]
-      : [this.#compareOrigins(record, known), versionStep];
+      : [versionStep, this.#compareOrigins(record, known)];
   }
 
   #listUpstreamSteps(record: OrderedRecord, known: OrderedRecord): readonly number[] {
--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -179,7 +179,7 @@
     return this.#rows.revision;
   }
 
-  /** The newest routing configuration; a later era comes first, then the higher version. */
+  /** The routing configuration with the highest version that was ever known. */
   get configuration(): RoutingConfiguration | undefined {
     return this.#configured?.configuration;
   }
