--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -66,6 +66,11 @@
     this.#watchers.clear();
   }
 
+  /** Cuts the watches that wait, and answers the next call. */
+  cutWatches() {
+    [...this.#watchers].forEach((watcher) => watcher.cut());
+  }
+
   /** Answers again, with nothing lost. */
   comeBack() {
     this.#isAway = false;
@@ -119,6 +124,7 @@
     const list = () =>
       this.#history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
     const watcher = {
+      cut: () => response.socket?.end(),
       finish: () => {
         clearTimeout(watcher.timer);
         this.#watchers.delete(watcher);
