--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,6 +1,7 @@
 /**
- * The store cuts the watches that wait, as it may at any time. 50 ms later an instance leaves: its entry
- * is removed, and it serves on for a little more than `drainS`. No booking may reach it later than that.
+ * A key is taken away. More than `revokeS` later the store comes back from a copy that still has the
+ * key. The only gateway of a zone is killed and starts again before the operator has written the
+ * configuration once more. Requests with the key must not run any more, at no gateway.
  */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -13,116 +14,133 @@
 const EXIT = { held: 0, broken: 1, couldNotRun: 2 };
 const HOST = 'shop.example';
 const ZONES = ['z1', 'z2', 'z3'];
-/** One gateway in each zone. */
-const PLACES = ZONES;
-const DRAIN_MS = 2000;
-/** Time from the cut of the watches to the removal of the entry. */
-const REMOVE_MS = 50;
-/** The instance serves on for this long after its entry was removed, and then exits. */
-const SERVE_MS = 2200;
-const ROUNDS = 4;
-const ROUND_MS = 7000;
-const WORK_MS = 150;
-const SEND_INTERVAL_MS = 10;
+/** One machine of six is killed, the only one of its zone. */
+const PLACES = ['z1', 'z2', 'z3', 'z2', 'z3', 'z3'];
+const KILLED_ZONE = 'z1';
+const REVOKE_MS = 5000;
+/** Age of the copy when the store comes back from it. */
+const BEFORE_ACK_MS = 500;
+const AWAY_MS = 300;
+/** The operator writes again so long after the return. */
+const REWRITE_MS = 2000;
+/** Time from the return of the store to the kill, and from the kill to the next start. */
+const KILL_MS = 200;
+const RESTART_MS = 100;
+const SEND_INTERVAL_MS = 5;
+const SEND_MS = 3000;
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const record = new CaseRecord(dirname(fileURLToPath(import.meta.url)));
 const store = new Store();
-const fleet = new Fleet({ places: PLACES, storePort: await store.listen() });
-const instances = [];
-const results = [];
+const instances = ZONES.flatMap((zone) =>
+  [1, 2].map((n) => new Instance({ id: `i-${zone}-${n}`, service: 'desk', zone })),
+);
+const fleet = new Fleet({
+  places: PLACES,
+  storePort: await store.listen(),
+  bounds: [
+    'strictRevocation=true',
+    `revokeS=${REVOKE_MS / 1000}`,
+    'quotaWindowS=5',
+    'quotaOvershoot=0.25',
+    'quotaSlack=20',
+  ],
+});
 let attempts = 0;
-let isRunning = true;
 
-async function addInstance(zone) {
-  const id = `i-${instances.length + 1}`;
-  const one = new Instance({ id, service: 'desk', zone, workMs: WORK_MS });
-  instances.push(one);
-  await one.listen();
-  store.put(`servers/${id}`, buildEntry(one));
-  return one;
+function buildVersion(version, southKeys) {
+  const routes = [{ prefix: '/read/', kind: 'safe', service: 'desk' }];
+  const tenants = [
+    { name: 'north', apiKeys: ['key-north'] },
+    { name: 'south', apiKeys: southKeys },
+  ];
+  return buildConfiguration(version, HOST, routes, { tenants });
 }
 
-async function send({ address, id: gateway }) {
+function send({ address }, key) {
   attempts += 1;
-  const id = `q-${attempts}`;
   const { front: port } = fleet.ports;
-  const body = 'a booking';
-  const attempt = { address, port, host: HOST, path: '/book/1', method: 'POST', id, body };
-  const result = await sendAttempt({ ...attempt, timeLimitMs: 2500 });
-  results.push({ ...result, gateway });
-  return result;
-}
-
-async function sendAll(gateway) {
-  while (isRunning) {
-    send(gateway);
-    await wait(SEND_INTERVAL_MS * PLACES.length);
-  }
-}
-
-/** One instance leaves; returns when its entry was removed, and when it exits. */
-async function runRound(leaver) {
-  if (hasTrouble) {
-    store.cutWatches();
-    record.write('the store cuts the watches that wait');
-  }
-  await wait(REMOVE_MS);
-  store.remove(`servers/${leaver.id}`);
-  const removedAt = performance.now();
-  record.write(`${leaver.id}: its entry is removed, acknowledged by the store`);
-  await wait(SERVE_MS);
-  leaver.close();
-  record.write(`${leaver.id} exits`);
-  return { leaver, removedAt };
+  return sendAttempt({ address, port, host: HOST, path: '/read/1', id: `q-${attempts}`, key });
 }
 
-async function run() {
-  await Promise.all(ZONES.flatMap((zone) => [zone, zone, zone]).map(addInstance));
-  store.put(
-    'op/config',
-    buildConfiguration(3, HOST, [{ prefix: '/book/', kind: 'unsafe', service: 'desk' }]),
-  );
+/** Starts everything, and waits until all gateways serve both keys and are in touch. */
+async function startAll() {
+  await Promise.all(instances.map((one) => one.listen()));
+  instances.forEach((one) => store.put(`servers/${one.id}`, buildEntry(one)));
+  store.put('op/config', buildVersion(11, ['key-south']));
   await fleet.choosePorts();
   fleet.gateways.forEach((one) => one.start());
   await Promise.all(
     fleet.gateways.map((gateway) =>
-      waitUntil(`${gateway.id} serves`, async () => (await send(gateway)).status === 200),
+      waitUntil(`${gateway.id} serves both keys`, async () => {
+        const [north, south] = [await send(gateway, 'key-north'), await send(gateway, 'key-south')];
+        return north.status === 200 && south.status === 200;
+      }),
     ),
   );
-  const senders = fleet.gateways.map((gateway) => sendAll(gateway));
   await wait(4000);
-  const rounds = [];
-  for (let round = 0; round < ROUNDS; round += 1) {
-    const startedAt = performance.now();
-    rounds.push(await runRound(instances[round * 2]));
-    await addInstance(instances[round * 2].zone);
-    await wait(startedAt + ROUND_MS - performance.now());
+}
+
+async function restart(gateway) {
+  gateway.signal('SIGKILL');
+  await waitUntil('the process has ended', () => !gateway.isRunning);
+  await wait(RESTART_MS);
+  gateway.start();
+  record.write(`${gateway.id} was killed and starts again`);
+}
+
+/** Sends with the removed key to one gateway, as connected clients of the tenant do. */
+async function sendAll(gateway) {
+  const pending = [];
+  const end = performance.now() + SEND_MS;
+  while (performance.now() < end) {
+    pending.push(send(gateway, 'key-south'));
+    await wait(SEND_INTERVAL_MS);
   }
-  isRunning = false;
-  await Promise.all(senders);
-  await wait(2600);
-  const byId = new Map(results.map((one) => [one.id, one]));
-  const late = rounds.flatMap(({ leaver, removedAt }) =>
-    leaver.runs
-      .filter(({ at }) => at > removedAt + DRAIN_MS)
-      .map(({ requestId, at }) => ({
-        ...byId.get(requestId),
-        leaver: leaver.id,
-        lateMs: at - removedAt,
-      })),
+  return Promise.all(pending);
+}
+
+async function run() {
+  await startAll();
+  const killed = fleet.gateways.find(({ zone }) => zone === KILLED_ZONE);
+  const copy = store.takeCopy();
+  record.write('the copy of the store is taken, with r11');
+  await wait(BEFORE_ACK_MS);
+  store.put('op/config', buildVersion(12, []));
+  const ackAt = performance.now();
+  record.write('r12 is acknowledged: it takes the key of tenant south away');
+  await wait(REVOKE_MS + 100);
+  const old = await Promise.all(fleet.gateways.map((one) => send(one, 'key-south')));
+  old.forEach(({ status, error }) =>
+    record.write(`removed key before the drill: ${status ?? error}`),
   );
-  late.forEach(({ id, gateway, leaver, lateMs, status, error }) =>
+  if (hasTrouble) {
+    store.leave();
+    record.write('the store is away');
+    await wait(AWAY_MS);
+    store.restore(copy);
+    record.write('the store is back from the copy, in a new era');
+    setTimeout(() => {
+      store.put('op/config', buildVersion(12, []));
+      record.write('the operator has written r12 again');
+    }, REWRITE_MS);
+    await wait(KILL_MS);
+    await restart(killed);
+  }
+  const results = await sendAll(killed);
+  const ran = new Set(instances.flatMap(({ runs }) => runs.map(({ requestId }) => requestId)));
+  const late = [...old, ...results].filter(({ sentAt }) => sentAt > ackAt + REVOKE_MS);
+  late.forEach(({ id, sentAt, status, error }) => {
+    const end = ran.has(id) ? ', and RAN at an instance' : '';
     record.write(
-      `${id} by ${gateway} reaches ${leaver} ${lateMs.toFixed(0)} ms after its removal; its client gets ${status ?? error}`,
-    ),
-  );
-  const lost = late.filter(({ status }) => status !== 200);
-  const text = `${late.length} bookings reached a leaving instance late, ${lost.length} of them were lost`;
-  record.write(`${attempts} bookings sent`);
+      `${id} sent ${(sentAt - ackAt).toFixed(0)} ms after the ack: ${status ?? error}${end}`,
+    );
+  });
+  const broken = late.filter(({ id }) => ran.has(id));
+  const text = `${broken.length} of ${late.length} requests with the removed key ran`;
   record.write(text);
   process.stdout.write(`${text}\n`);
-  return late.length > 0 ? EXIT.broken : EXIT.held;
+  return broken.length > 0 ? EXIT.broken : EXIT.held;
 }
 
 const code = await run().catch((error) => {
