Don't take a cut call to the store for an outage

Cause: any failed call counted as an outage of the store, after which what is missing is kept for two seconds, as the entries of live upstreams may have expired. A cut watch shows no outage.

Change: an outage is concluded from the time in which no daemon is known to have had an answer, by own calls and the readers' claims; it has to be longer than two registration intervals and 2 s. Time in which the process did not run is left out. A cut call is resumed from the known revision within 60 ms; others are asked for help from the second failure in a row, or the first refusal or time-out.

The test 'keeps entries that expired during a store outage' now lets 3.2 s pass while the store is away: it held for an outage without any duration, which is the fault itself. Its stand-in no longer lists removed entries in a whole read.

--- a/packages/core/src/replication/index.ts
+++ b/packages/core/src/replication/index.ts
@@ -14,6 +14,8 @@
 export type { EraChange, RecordConflict, ReplicaHandlers, ReplicaSettings } from './replica.js';
 export { MAX_KNOWN_ERAS, StoreEras } from './eras.js';
 export type { EraStarts, StorePosition } from './eras.js';
+export { StoreOutages } from './store-outages.js';
+export type { StoreOutageSettings } from './store-outages.js';
 export { recordSchema, registeredUpstreamSchema } from './types.js';
 export type {
   ConfigurationPosition,
--- a/packages/gateway/src/dialect/index.ts
+++ b/packages/gateway/src/dialect/index.ts
@@ -1,3 +1,4 @@
+export { SourceRefusedError } from './source-refused-error.js';
 export type {
   AnswerHead,
   CallerHead,
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -83,7 +83,10 @@
   readonly changes: Changes;
 };
 
-/** Source of the published records. Calls reject if it does not respond. */
+/**
+ * Source of the published records. Calls reject if it does not respond, and with SourceRefusedError if it
+ * refuses them.
+ */
 export interface RecordSource {
   /** Reads all records. */
   readAll(): Promise<SourceAnswer<StoreChanges>>;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -568,6 +568,7 @@
       readerCount: this.#settings.dispatchersPerDataCentre,
       replica: this.#replica,
       source: this.#recordSource,
+      registrationIntervalMs: this.#settings.bounds.registrationIntervalMs,
       confirmations: this.#keyLease.confirmations,
       formats: this.#formats,
       ranks: this.#ranks,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export { computeKeyDigest } from './caller-keys/index.js';
+export { SourceRefusedError } from './dialect/index.js';
 export type * from './dialect/index.js';
 export { HttpClient } from './http/index.js';
 export type { HttpResponse } from './http/index.js';
--- a/packages/gateway/src/record-sync/record-exchange.test.ts
+++ b/packages/gateway/src/record-sync/record-exchange.test.ts
@@ -45,6 +45,23 @@
   },
 };
 
+/** An upstream that has left gets no work later than this, whatever the daemons' calls meet. */
+const REMOVAL_BOUND_MS = 1000;
+
+/** When the store cuts the watches that wait, and when an upstream leaves, in milliseconds. */
+const CUT_PATTERNS = [
+  { name: 'as watches are cut', cutsMs: [0], removedMs: 0, dropsHistory: false },
+  { name: 'after watches were cut', cutsMs: [0], removedMs: 50, dropsHistory: false },
+  { name: 'after watches were cut twice', cutsMs: [0, 30], removedMs: 50, dropsHistory: false },
+  {
+    name: 'while watches are cut again and again',
+    cutsMs: [0, 100, 200, 300, 400, 500, 600],
+    removedMs: 600,
+    dropsHistory: false,
+  },
+  { name: 'as history is dropped too', cutsMs: [0], removedMs: 0, dropsHistory: true },
+];
+
 type Outage = {
   readonly sizes: readonly number[];
   readonly seed: number;
@@ -149,6 +166,36 @@
     expect(lastMs).to.be.lessThan(APPLY_BOUND_MS - ROOM_MS);
   }).timeout(60_000);
 
+  // Bookings were sent to an upstream until it exited: daemons took a cut watch for an outage.
+  [[1], [1, 1, 1], [2, 2, 2], [3, 3, 3], MEDIUM, LARGE].forEach((sizes) => {
+    const total = sizes.reduce((sum, size) => sum + size, 0);
+
+    CUT_PATTERNS.forEach(({ name, cutsMs, removedMs, dropsHistory }) => {
+      it(`show ${total} daemons in ${sizes.length} data centres that an upstream has left, ${name}`, async () => {
+        const fleet = await startFleet(sizes, 3);
+        fleet.publish(UPSTREAM);
+        await fleet.runFor(APPLY_BOUND_MS);
+        const startedAt = fleet.now;
+        const hasLeft = (): boolean =>
+          fleet.daemons.every(({ replica }) => replica.listUpstreams().length === 0);
+        await cutsMs.reduce(async (before, cutMs) => {
+          await before;
+          await fleet.runFor(startedAt + cutMs - fleet.now);
+          fleet.abortWatches();
+        }, Promise.resolve());
+        await fleet.runFor(startedAt + removedMs - fleet.now);
+        if (dropsHistory) fleet.dropHistory();
+        fleet.publish({ key: UPSTREAM.key });
+        const removedAt = fleet.now;
+        await fleet.runFor(REMOVAL_BOUND_MS, hasLeft);
+        const tookMs = fleet.now - removedAt;
+        fleet.stop();
+        await fleet.runFor(APPLY_BOUND_MS);
+        expect([hasLeft(), tookMs < REMOVAL_BOUND_MS]).to.deep.equal([true, true], `${tookMs} ms`);
+      }).timeout(60_000);
+    });
+  });
+
   it('are not replaced by those of a reader that comes back with earlier ones', async () => {
     const fleet = await startFleet(SMALL, 3);
     const [reader] = chooseNextReaders(fleet, 1) as [SimulatedDaemon];
--- a/packages/gateway/src/record-sync/record-exchange.ts
+++ b/packages/gateway/src/record-sync/record-exchange.ts
@@ -14,6 +14,7 @@
   isPresent,
   RECORD_FORMAT,
   StoreFallback,
+  StoreOutages,
 } from '@baobabline/core';
 import type {
   RecordChanges,
@@ -53,6 +54,8 @@
   readonly readerCount: number;
   readonly replica: Replica;
   readonly source: RecordSource;
+  /** How often upstreams register again, in milliseconds. */
+  readonly registrationIntervalMs: number;
   readonly confirmations: StoreConfirmations;
   readonly fleet: Pick<FleetLinks, 'membership' | 'isNear' | 'recordHeard' | 'recordLost'>;
   readonly formats: PeerFormats;
@@ -77,6 +80,8 @@
 
   readonly #fallback: StoreFallback;
 
+  readonly #outages: StoreOutages;
+
   readonly #reader: StoreReader;
 
   readonly #feed: RecordFeed;
@@ -99,6 +104,7 @@
     this.#dependencies = dependencies;
     this.#fallback = new StoreFallback(dependencies.random);
     this.#freshness = new Freshness(dependencies.selfId);
+    this.#outages = new StoreOutages(dependencies, dependencies.clock);
     this.#reader = this.#createReader();
     this.#feed = this.#createFeed();
     this.#follower = this.#createFollower();
@@ -130,6 +136,7 @@
   runTick(): void {
     const { replica, clock, formats, fleet } = this.#dependencies;
     replica.runTick(clock.now());
+    this.#outages.runTick();
     formats.keep(fleet.membership.members.list());
     this.#follower.runTick();
   }
@@ -231,7 +238,9 @@
   }
 
   #handleClaim(claim: FreshnessClaim, senderId: string): void {
-    const now = this.#dependencies.clock.now();
+    const { clock, selfId } = this.#dependencies;
+    const now = clock.now();
+    if (claim.sourceId !== selfId) this.#outages.recordServed(now - Math.max(0, claim.ageMs));
     if (this.#freshness.recordClaim(claim, now, senderId)) this.#resetFallback();
   }
 
@@ -355,6 +364,7 @@
       log,
       replica,
       source,
+      outages: this.#outages,
       confirmations,
       shouldRead: () => this.#shouldRead(),
       getIdleMs: () => this.#getIdleMs(),
--- a/packages/gateway/src/record-sync/simulated-record-fleet.ts
+++ b/packages/gateway/src/record-sync/simulated-record-fleet.ts
@@ -23,6 +23,10 @@
 import { ReaderRanks } from './reader-ranks.js';
 import { RecordExchange } from './record-exchange.js';
 
+function isEmptyRecord({ upstream, configuration }: StoredRecord): boolean {
+  return upstream === undefined && configuration === undefined;
+}
+
 const STEP_MS = 10;
 const TICK_MS = 200;
 const DATAGRAM_DELAY_MS = 2;
@@ -31,6 +35,7 @@
 const STORE_TIMEOUT_GRACE_MS = 500;
 const FULL_READ_TIMEOUT_MS = 1500;
 const ERA = 1;
+const REGISTRATION_INTERVAL_MS = 1500;
 export const REVOCATION_MS = 5000;
 
 const SILENT_LOG = {
@@ -65,7 +70,7 @@
   isEarlierVersion: boolean;
 };
 
-type Watch = { readonly finish: () => void };
+type Watch = { readonly finish: () => void; readonly cut: () => void };
 
 export class SimulatedRecordFleet {
   readonly daemons: readonly SimulatedDaemon[];
@@ -83,6 +88,9 @@
 
   #watches: readonly Watch[] = [];
 
+  /** Revision before which the store has no history. */
+  #historyStart = 0;
+
   readonly #random: RandomSource;
 
   readonly #settings: SimulatedFleetSettings;
@@ -129,6 +137,18 @@
     return this.#revision;
   }
 
+  /** Ends the watches that wait without an answer, as the store may at any time. */
+  abortWatches(): void {
+    const waiting = this.#watches;
+    this.#watches = [];
+    waiting.forEach(({ cut }) => cut());
+  }
+
+  /** Drops the store's history up to now, so that watches from an earlier revision get none. */
+  dropHistory(): void {
+    this.#historyStart = this.#revision;
+  }
+
   /** Lets time pass; calls back after each step until it returns true. */
   async runFor(ms: number, isDone: () => boolean = () => false): Promise<void> {
     if (ms <= 0 || isDone()) return;
@@ -225,6 +245,7 @@
         watch: async (after, waitMs) => this.#watch(find(), after, waitMs),
         close: () => undefined,
       },
+      registrationIntervalMs: REGISTRATION_INTERVAL_MS,
       confirmations: keyLease.confirmations,
       formats,
       ranks,
@@ -291,7 +312,7 @@
 
   async #readAll(from: SimulatedDaemon): Promise<SourceAnswer<StoreChanges>> {
     await this.#connectToStore(from, FULL_READ_TIMEOUT_MS);
-    const records = this.#listDecoded(from);
+    const records = this.#listDecoded(from).filter((record) => !isEmptyRecord(record));
     return { era: ERA, changes: { records, revision: this.#revision, isWhole: true } };
   }
 
@@ -302,6 +323,7 @@
   ): Promise<SourceAnswer<StoreChanges | undefined>> {
     const timeoutMs = waitMs + STORE_TIMEOUT_GRACE_MS;
     await this.#connectToStore(from, timeoutMs);
+    if (after < this.#historyStart) return { era: ERA, changes: undefined };
     if (this.#revision <= after) await this.#waitForChange(waitMs);
     if (from.isDark || from.isCutFromStore || this.isStoreSilent) {
       await wait(timeoutMs);
@@ -322,8 +344,9 @@
   }
 
   async #waitForChange(waitMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
+    await new Promise<void>((resolve, reject) => {
       const watch: Watch = {
+        cut: () => reject(new Error('the connection was closed')),
         finish: () => {
           this.#watches = this.#watches.filter((one) => one !== watch);
           resolve();
--- a/packages/gateway/src/record-sync/store-reader.test.ts
+++ b/packages/gateway/src/record-sync/store-reader.test.ts
@@ -1,13 +1,15 @@
 import { expect } from 'chai';
 import { setTimeout as wait } from 'node:timers/promises';
 
-import { createRandom, Replica } from '@baobabline/core';
+import { createRandom, Replica, StoreOutages } from '@baobabline/core';
 import type { StoreChanges, StoredRecord } from '@baobabline/core';
 
+import { SourceRefusedError } from '../dialect/index.js';
 import type { RecordSource, SourceAnswer } from '../dialect/index.js';
 import { StoreReader } from './store-reader.js';
 
 const POLL_MS = 5;
+const STEP_MS = 200;
 
 function buildRecord(id: string, revision: number): StoredRecord {
   const upstream = {
@@ -34,6 +36,8 @@
 
   isAway = false;
 
+  isRefusing = false;
+
   onCall: () => void = () => undefined;
 
   hasForgotten = false;
@@ -47,10 +51,21 @@
 
   waits: readonly number[] = [];
 
+  /** Calls that are cut before they are answered, counted down. */
+  cuts = 0;
+
+  /** Whether calls that are answered at once are spared. */
+  cutsOnlyWaiting = false;
+
+  /** Called when a call is cut. */
+  onCut: () => void = () => undefined;
+
   async readAll(): Promise<SourceAnswer<StoreChanges>> {
     this.#check();
+    await this.#abort();
     this.wholeReads += 1;
-    const changes = { records: this.records, revision: this.revision, isWhole: true };
+    const records = this.records.filter(({ upstream }) => upstream);
+    const changes = { records, revision: this.revision, isWhole: true };
     return { era: this.era, changes };
   }
 
@@ -61,6 +76,7 @@
       this.hasForgotten = false;
       return { era: this.era, changes: undefined };
     }
+    if (waitMs > 100 || !this.cutsOnlyWaiting) await this.#abort();
     if (after < this.historyStart) return { era: this.era, changes: undefined };
     await wait(POLL_MS);
     const records = this.records.filter(({ revision }) => revision > after);
@@ -71,9 +87,18 @@
     this.isAway = true;
   }
 
+  async #abort(): Promise<void> {
+    if (this.cuts === 0) return;
+    this.cuts -= 1;
+    await wait(POLL_MS);
+    this.onCut();
+    throw new Error('the connection was closed');
+  }
+
   #check(): void {
     this.reads += 1;
     this.onCall();
+    if (this.isRefusing) throw new SourceRefusedError('the store answered 503');
     if (this.isAway) throw new Error('the store does not answer');
   }
 }
@@ -88,6 +113,7 @@
   let confirmed: readonly number[] = [];
   /** Time of the reader's clock; the grace period ends only when a test advances it. */
   let now = 0;
+  let outages: StoreOutages;
 
   function listIds(): readonly string[] {
     return replica.listUpstreams().map(({ id }) => id);
@@ -100,6 +126,15 @@
     await waitFor(holds, left - 1);
   }
 
+  /** Lets time pass for the reader, in steps within which it observes the store. */
+  async function advance(ms: number): Promise<void> {
+    if (ms <= 0) return;
+    now += STEP_MS;
+    outages.runTick();
+    await wait(1);
+    await advance(ms - STEP_MS);
+  }
+
   function createReader(read: Replica): StoreReader {
     const record = (event: string): void => {
       events = [...events, event];
@@ -116,6 +151,7 @@
       },
       replica: read,
       source,
+      outages,
       confirmations: {
         now: () => now,
         recordRead: (beganAt) => {
@@ -140,6 +176,7 @@
     events = [];
     confirmed = [];
     now = 0;
+    outages = new StoreOutages({ registrationIntervalMs: 1500 }, { now: () => now });
     reader = createReader(replica);
     reader.start();
   });
@@ -167,6 +204,7 @@
     await waitFor(() => listIds().length === 2);
     source.isAway = true;
     await waitFor(() => events.includes('store-away'));
+    await advance(3200);
     source.records = [buildRecord('c', 8)];
     source.revision = 8;
     source.isAway = false;
@@ -178,6 +216,83 @@
     expect(events).to.include('store-back');
   });
 
+  // Bookings went to an upstream until it exited: a cut watch counted as an outage of the store, in which
+  // the entries of upstreams that live may expire.
+  const cuts: readonly (readonly [name: string, cuts: number, drops: boolean, isAtCut: boolean])[] =
+    [
+      ['just after it was cut', 1, false, false],
+      ['as it is cut', 1, false, true],
+      ['as it is cut twice in a row', 2, false, true],
+      ['as it is cut five times in a row while it waits', 5, false, true],
+      ['as it is cut and the history is dropped', 1, true, true],
+      ['just after it was cut and the history was dropped', 1, true, false],
+    ];
+
+  cuts.forEach(([name, count, drops, isAtCut]) => {
+    it(`removes an upstream at once that leaves while the watch of the store is open, ${name}`, async () => {
+      await waitFor(() => listIds().length === 2);
+      const leave = (): void => {
+        source.records = drops
+          ? [buildRecord('b', 3)]
+          : [{ key: 'servers/a', revision: 9 }, buildRecord('b', 3)];
+        source.revision = 9;
+        if (drops) source.historyStart = 9;
+      };
+      source.onCut = () => {
+        if (isAtCut && source.cuts === 0) leave();
+      };
+      source.cutsOnlyWaiting = count > 2;
+      source.cuts = count;
+      await waitFor(() => source.cuts === 0);
+      await wait(POLL_MS);
+      if (!isAtCut) leave();
+      await waitFor(() => listIds().length === 1);
+      expect(listIds()).to.deep.equal(['b']);
+    });
+  });
+
+  it('does not count the time in which the process did not run as an outage', async () => {
+    await waitFor(() => listIds().length === 2);
+    source.cuts = 1;
+    source.onCut = () => {
+      now += 6000;
+      source.records = [buildRecord('b', 3)];
+      source.revision = 9;
+      source.historyStart = 9;
+    };
+    await waitFor(() => listIds().length === 1);
+  });
+
+  it('removes an upstream at once that leaves while the store rejects this daemon alone', async () => {
+    await waitFor(() => listIds().length === 2);
+    source.isAway = true;
+    await waitFor(() => events.includes('store-away'));
+    await advance(2000);
+    outages.recordServed(now - 500);
+    await advance(2400);
+    source.records = [{ key: 'servers/a', revision: 9 }, buildRecord('b', 3)];
+    source.revision = 9;
+    source.isAway = false;
+    await waitFor(() => listIds().length === 1);
+  });
+
+  it('resumes a cut watch without a read of everything', async () => {
+    await waitFor(() => listIds().length === 2);
+    const { wholeReads } = source;
+    source.cuts = 1;
+    await waitFor(() => events.includes('store-call-cut'));
+    const before = source.reads;
+    await waitFor(() => source.reads > before + 2);
+    expect([source.wholeReads, events.includes('store-away')]).to.deep.equal([wholeReads, false]);
+  });
+
+  it('asks for help at once where the store refuses calls', async () => {
+    await waitFor(() => listIds().length === 2);
+    source.isRefusing = true;
+    await waitFor(() => events.includes('store-away'));
+    expect(events).not.to.include('store-call-cut');
+  });
+
   it('reads everything when a watch waited through a restore, and keeps what is missing for a while', async () => {
     await waitFor(() => listIds().length === 2);
     source.records = [buildRecord('a', 2)];
--- a/packages/gateway/src/record-sync/store-reader.ts
+++ b/packages/gateway/src/record-sync/store-reader.ts
@@ -1,13 +1,15 @@
 /**
  * Keeps the replica up to date from the platform's store: reads all records once and then watches
- * for changes. After an outage of the store, or once it came back from an older copy, missing records
- * are kept for a grace period, since entries that expired or were lost are registered again within
- * seconds. Records that are present are applied at once.
+ * for changes. A watch that was cut is resumed from the known revision at once, so that each change is
+ * still seen in order. After an outage of the store, or once it came back from an older copy, missing
+ * records are kept for a grace period, since entries that expired or were lost are registered again
+ * within seconds. Records that are present are applied at once.
  */
-import type { Clock, RandomSource, Replica } from '@baobabline/core';
+import type { Clock, RandomSource, Replica, StoreOutages } from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { SourceRefusedError } from '../dialect/index.js';
 import type { RecordSource } from '../dialect/index.js';
 
 /** Takes in what calls to the store have confirmed. */
@@ -27,6 +29,7 @@
   readonly log: Log;
   readonly replica: Replica;
   readonly source: RecordSource;
+  readonly outages: StoreOutages;
   readonly confirmations: StoreConfirmations;
   /** Whether this daemon should read now. */
   readonly shouldRead: () => boolean;
@@ -41,13 +44,17 @@
   readonly onAway: () => void;
 };
 
-/** Duration of the watch with which a daemon begins to read: it asks for what has changed so far. */
+/** Duration of the watch with which a daemon begins or resumes: it asks for what has changed so far. */
 const FIRST_WATCH_MS = 1;
 /** Duration of a watch; one that ends without an answer shows that the connection is dead. */
 const WATCH_MS = 700;
+/** Time within which the store answers a call that does not wait. */
+const PROMPT_ANSWER_MS = 300;
 /** Pause after a change, so that the next watch returns further changes together. */
 const BATCH_DELAY_MS = 60;
-/** Delay after the first failure; it doubles with each further failure up to the maximum. */
+/** Longest delay after a call that was cut, so that readers whose watches end together spread out. */
+const RESUME_SPREAD_MS = 60;
+/** Delay after any other first failure; it doubles with each further failure up to the maximum. */
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 1000;
 /** Maximum share added to a delay at random, so that readers do not retry at the same time. */
@@ -55,8 +62,8 @@
 const MAX_IDLE_MS = 200;
 /** Interval of full reads during the grace period. */
 const GRACE_READ_MS = 500;
-/** Upstreams that are alive register expired entries again within this time after an outage. */
-const EXPIRY_GRACE_MS = 2000;
+/** Upstreams write again within this time what a restore has lost. */
+const RESTORE_GRACE_MS = 2000;
 
 export class StoreReader {
   readonly #dependencies: StoreReaderDependencies;
@@ -64,9 +71,6 @@
   /** Time of the first failed call; undefined while the store answers. */
   #awaySince: number | undefined;
 
-  /** End of the grace period after an outage. */
-  #outageGraceUntil = Number.NEGATIVE_INFINITY;
-
   #needsFullRead = true;
 
   /** Watches in a row that the store had no history for. */
@@ -81,6 +85,9 @@
 
   #failures = 0;
 
+  /** Whether the last call was cut and its resumption has not succeeded yet. */
+  #isResuming = false;
+
   #isReading = false;
 
   #isFirstWatch = false;
@@ -120,15 +127,26 @@
     if (!shouldRead) {
       this.#awaySince = undefined;
       this.#failures = 0;
+      this.#isResuming = false;
       await wait(Math.min(MAX_IDLE_MS, this.#dependencies.getIdleMs()));
       return;
     }
+    const { clock, onCall } = this.#dependencies;
+    const startedAt = clock.now();
+    const answerMs = this.#computeAnswerMs();
     try {
-      this.#dependencies.onCall();
+      onCall();
       const beganAt = this.#dependencies.confirmations.now();
       await (this.#shouldReadAll() ? this.#readAll(beganAt) : this.#watch(beganAt));
       this.#recordSuccess();
     } catch (error) {
+      const isRefused = error instanceof SourceRefusedError;
+      const wasCut = !isRefused && clock.now() - startedAt < answerMs;
+      // One cut says nothing about the store; a second one in a row counts as any other failure.
+      if (wasCut && !this.#isResuming && this.#failures === 0) {
+        await this.#resume(error as Error);
+        return;
+      }
       this.#recordFailure(error as Error);
       await wait(this.#drawRetryMs(this.#failures));
     }
@@ -151,17 +169,36 @@
 
   #shouldReadAll(): boolean {
     const { era, boundChanges } = this.#dependencies.replica;
-    return this.#needsFullRead || era !== this.#readEra || boundChanges !== this.#readBoundChanges;
+    const { mayLackEntries } = this.#dependencies.outages;
+    return (
+      this.#needsFullRead ||
+      mayLackEntries ||
+      era !== this.#readEra ||
+      boundChanges !== this.#readBoundChanges
+    );
+  }
+
+  /** Time within which a store that is in touch answers the next call, in milliseconds. */
+  #computeAnswerMs(): number {
+    return this.#shouldReadAll() || this.#isFirstWatch ? PROMPT_ANSWER_MS : WATCH_MS;
+  }
+
+  async #resume(error: Error): Promise<void> {
+    const { log, random } = this.#dependencies;
+    this.#isResuming = true;
+    this.#isFirstWatch = true;
+    log.info('store-call-cut', { reason: error.message });
+    await wait(random.next() * RESUME_SPREAD_MS);
   }
 
   async #readAll(beganAt: number): Promise<void> {
-    const { replica, source, clock, confirmations, onChanged } = this.#dependencies;
+    const { replica, source, outages, clock, confirmations, onChanged } = this.#dependencies;
     const { era: statedEra, changes } = await source.readAll();
     const now = clock.now();
     const era = this.#checkEra(statedEra);
     replica.recordEra(era, changes.revision, now);
-    if (this.#awaySince !== undefined) this.#outageGraceUntil = now + EXPIRY_GRACE_MS;
-    const graceUntil = Math.max(this.#outageGraceUntil, replica.eraLearnedAt + EXPIRY_GRACE_MS);
+    outages.recordServed(now);
+    const graceUntil = Math.max(outages.graceUntil, replica.eraLearnedAt + RESTORE_GRACE_MS);
     const isInGrace = now < graceUntil;
     replica.applyStoreChanges(era, changes, now, isInGrace);
     this.#needsFullRead = isInGrace;
@@ -175,13 +212,19 @@
   }
 
   async #watch(beganAt: number): Promise<void> {
-    const { replica, source, clock, log, confirmations, onChanged } = this.#dependencies;
+    const { replica, source, outages, clock, log, confirmations, onChanged } = this.#dependencies;
     const { era: askedEra, revision } = replica;
     // A removal that a read of the whole store has shown stands between two of its revisions.
     const waitMs = this.#isFirstWatch ? FIRST_WATCH_MS : WATCH_MS;
     this.#isFirstWatch = false;
     const { era: statedEra, changes } = await source.watch(Math.floor(revision), waitMs);
     const era = this.#checkEra(statedEra);
+    outages.recordServed(clock.now());
+    // Removals after an outage may be entries that expired in it; the whole read tells what is kept.
+    if (outages.mayLackEntries) {
+      await this.#readAll(beganAt);
+      return;
+    }
     if (!changes || era !== askedEra) {
       log.warn('store-history-lost', { revision, knownEra: askedEra, era });
       this.#needsFullRead = true;
@@ -223,6 +266,7 @@
 
   #recordSuccess(): void {
     this.#failures = 0;
+    this.#isResuming = false;
     this.#dependencies.onRead();
     if (this.#awaySince === undefined) return;
     const now = this.#dependencies.clock.now();
@@ -231,7 +275,7 @@
   }
 
   #recordFailure(error: Error): void {
-    this.#needsFullRead = true;
+    this.#isFirstWatch = true;
     this.#failures += 1;
     if (this.#awaySince !== undefined) return;
     this.#awaySince = this.#dependencies.clock.now();
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -24,6 +24,8 @@
   /** Additional retries allowed to the whole fleet, within the window. */
   retrySlack: z.number().min(0).default(50),
   retryWindowMs: z.number().positive().default(10_000),
+  /** How often upstreams that are alive register again. */
+  registrationIntervalMs: z.number().positive().default(1500),
   /** Time from the stop signal until the process is killed. */
   stopGraceMs: z.number().positive().default(6000),
   /** Longest time for which callers may cache a directory response. */
