Don't believe a read of the store after a start or a restore until others have answered

Cause: the daemon's own read of the store began its key lease. It shows what the store holds, not that nothing newer was acknowledged; that follows only for a daemon with a proof of the same era. The same conclusion was drawn after a restore by daemons that had been out of touch.

Change: an own read counts where it continues a proof of the same era. Otherwise one answer of a daemon with such a proof is needed, or answers of the own data centre and of the readers of all others. Daemons that never had a lease say so; among these alone the wait lasts 1.5 s. Until then a daemon that starts uses no route of what it has read. Answers that come before their sender has stated its record format are kept for the time of the question. The simulated lease fleet draws restores, restarts and slow answers.

Ruled out: to ask at the next tick, or to wait for a fixed time (a race); to distrust reads for some time after an era is first seen (a daemon that starts can't tell when it began).

--- a/packages/core/src/key-lease/key-lease.test.ts
+++ b/packages/core/src/key-lease/key-lease.test.ts
@@ -25,6 +25,13 @@
   return running.filter(({ lease }) => !lease.isValid).map(({ id }) => id);
 }
 
+function listDataCentre(
+  { daemons }: SimulatedLeaseFleet,
+  dataCentre: number,
+): readonly SimulatedLeaseDaemon[] {
+  return daemons.filter((one) => one.dataCentre === dataCentre);
+}
+
 /** Runs a fleet, and returns the daemons that have accepted a removed key or lost their lease. */
 function runAndWatch(
   fleet: SimulatedLeaseFleet,
@@ -297,4 +304,115 @@
       });
     });
   }).timeout(120_000);
+
+  // Requests ran with keys that had been taken away: a daemon that started took an older copy of the
+  // store for the newest, as others did that had not heard of anything for some time.
+  const states: readonly (readonly [string, (fleet: SimulatedLeaseFleet) => void])[] = [
+    ['a reader that starts again', (fleet) => fleet.kill(fleet.findDaemon(1, 0), 400)],
+    ['a follower that starts again', (fleet) => fleet.kill(fleet.findDaemon(1, 1), 400)],
+    ['the last reader that starts again', (fleet) => fleet.kill(fleet.findDaemon(2, 0), 400)],
+    [
+      'a data centre that starts again',
+      (fleet) => listDataCentre(fleet, 1).forEach((one) => fleet.kill(one, 400)),
+    ],
+    [
+      'two data centres that start again',
+      (fleet) =>
+        [...listDataCentre(fleet, 1), ...listDataCentre(fleet, 2)].forEach((one) =>
+          fleet.kill(one, 400),
+        ),
+    ],
+  ];
+  const delays = [10, 200, 450];
+
+  states.forEach(([name, restart]) =>
+    delays.forEach((maxDelayMs) =>
+      it(`keep a removed key out of ${name} beside a restore, with answers up to ${maxDelayMs} ms late`, () => {
+        [FLEET, [1, 2, 3], [3, 2, 1]].forEach((sizes) => {
+          const settings = { sizes, seed: 3, lossProbability: 0.01, lateProbability: 0.01 };
+          const fleet = new SimulatedLeaseFleet({ ...settings, maxDelayMs });
+          fleet.runFor(WARM_UP_MS);
+          fleet.publish();
+          fleet.runFor(REVOCATION_MS + 100);
+          fleet.restore(300, 1);
+          fleet.runFor(500);
+          restart(fleet);
+          expect(runAndWatch(fleet, 12_000).accepting).to.deep.equal([]);
+          expect(listInvalid(fleet)).to.deep.equal([]);
+        });
+      }),
+    ),
+  );
+
+  // The same of daemons that know less than others without having started.
+  (
+    [
+      ['partitioned', (one) => Object.assign(one, { group: 1, isCutFromStore: true })],
+      ['stopped', (one, fleet) => fleet.freeze(one, 8000, false)],
+      ['suspended', (one, fleet) => fleet.freeze(one, 8000)],
+    ] as readonly (readonly [
+      string,
+      (one: SimulatedLeaseDaemon, fleet: SimulatedLeaseFleet) => void,
+    ])[]
+  ).forEach(([name, leave]) =>
+    it(`keep a removed key out of a data centre that was ${name} from before its removal until after a restore`, () => {
+      [FLEET, [1, 2, 3], [1, 1, 1]].forEach((sizes) => {
+        const settings = { sizes, seed: 3, lossProbability: 0, lateProbability: 0 };
+        const fleet = new SimulatedLeaseFleet({ ...settings, maxDelayMs: 450 });
+        fleet.runFor(WARM_UP_MS);
+        listDataCentre(fleet, 2).forEach((one) => leave(one, fleet));
+        fleet.runFor(50);
+        fleet.publish();
+        fleet.runFor(REVOCATION_MS + 100);
+        fleet.restore(300, 1);
+        fleet.runFor(2850);
+        listDataCentre(fleet, 2).forEach((one) =>
+          Object.assign(one, { group: 0, isCutFromStore: false }),
+        );
+        expect(runAndWatch(fleet, 12_000).accepting).to.deep.equal([]);
+        expect(listInvalid(fleet)).to.deep.equal([]);
+      });
+    }),
+  );
+
+  it('begin in a fleet that starts for the first time, and of which nobody knows anything', () => {
+    const fleet = createFleet([3, 3]);
+    fleet.daemons.forEach((one) => fleet.kill(one, 200));
+    fleet.runFor(3000);
+    expect(listInvalid(fleet)).to.deep.equal([]);
+  });
+
+  it(`never outlive a removal by more than the bound, in ${SEEDS} seeds of restores and restarts`, () => {
+    Array.from({ length: SEEDS }, (_, seed) => seed).forEach((seed) => {
+      const random = createRandom(seed);
+      const settings = { seed, lossProbability: 0.1, lateProbability: 0.05 };
+      const sizes = seed % 2 === 0 ? [9, 8, 7] : [2, 1, 3];
+      const fleet = new SimulatedLeaseFleet({
+        ...settings,
+        sizes,
+        maxDelayMs: seed % 3 ? 10 : 300,
+      });
+      const draw = (): SimulatedLeaseDaemon => {
+        const others = fleet.daemons.filter(({ dataCentre }) => dataCentre > 0);
+        return others[Math.floor(random.next() * others.length)] as SimulatedLeaseDaemon;
+      };
+      const actions: readonly (() => void)[] = [
+        () => fleet.restore(random.next() * 1000, 1 + Math.floor(random.next() * 3)),
+        () => fleet.restore(random.next() * 6000, 1),
+        () => fleet.kill(draw(), random.next() * 3000),
+        () => listDataCentre(fleet, 1).forEach((one) => fleet.kill(one, random.next() * 2000)),
+        () => listDataCentre(fleet, 2).forEach((one) => fleet.freeze(one, random.next() * 9000)),
+        () => fleet.freeze(draw(), random.next() * 9000, random.next() < 0.5),
+        () => Object.assign(draw(), { isCutFromStore: true }),
+        () => fleet.daemons.forEach((one) => Object.assign(one, { isCutFromStore: false })),
+        () => undefined,
+      ];
+      fleet.runFor(WARM_UP_MS);
+      Array.from({ length: 30 }).forEach(() => {
+        actions[Math.floor(random.next() * actions.length)]?.();
+        if (random.next() < 0.4) fleet.publish();
+        expect(runAndWatch(fleet, 800).accepting, `seed ${seed}`).to.deep.equal([]);
+      });
+    });
+  }).timeout(120_000);
 });
--- a/packages/core/src/key-lease/lease-renewal.ts
+++ b/packages/core/src/key-lease/lease-renewal.ts
@@ -1,6 +1,6 @@
 /**
- * Renews a daemon's key lease: takes in what its own calls to the store confirm, asks other daemons
- * for the age of their leases, and answers them.
+ * Renews a daemon's key lease: takes in what its own calls to the store confirm, once other daemons have
+ * shown that the store has lost nothing, asks them for the age of their leases, and answers them.
  *
  * Load patterns:
  * - Hundreds of idle daemons need a lease at any moment. Each asks one reader, soon after that reader
@@ -14,6 +14,8 @@
 import type { ConfigurationPosition } from '../replication/index.js';
 import { chooseLeaseSources } from './choose-lease-sources.js';
 import type { KeyLease } from './key-lease.js';
+import { ReadCorroboration } from './read-corroboration.js';
+import { computeProvenEra, listErasUntil } from './proven-era.js';
 import type { LeaseAnswer, LeaseSource, LeaseSources } from './types.js';
 
 export type LeaseRenewalPorts = {
@@ -33,6 +35,8 @@
 
 /** An answer that did not count, since its configuration was newer than the one in force. */
 type DeferredAnswer = {
+  readonly source: LeaseSource;
+  readonly askedAt: number;
   readonly startedAt: number;
   readonly expectedAt: number;
   readonly configuration: ConfigurationPosition;
@@ -57,6 +61,8 @@
 /** Interval of rounds after several without a good answer. */
 const RETRY_INTERVAL_MS = 500;
 const MAX_QUICK_ROUNDS = 3;
+/** The same of a daemon that has just started; callers wait for it. */
+const MAX_QUICK_START_ROUNDS = 12;
 /** Later answers are ignored. */
 const QUESTION_LIFETIME_MS = 1000;
 /** Above the age of the lease of any daemon that is in touch with the store. */
@@ -92,12 +98,16 @@
 
   #preferredId: string | undefined;
 
-  #deferred: DeferredAnswer | undefined;
+  /** By the daemon that answered. */
+  readonly #deferred = new Map<string, DeferredAnswer>();
+
+  readonly #corroboration: ReadCorroboration;
 
   #answeredAt = Number.NEGATIVE_INFINITY;
 
   constructor(ports: LeaseRenewalPorts) {
     this.#ports = ports;
+    this.#corroboration = new ReadCorroboration(ports.clock, ports.listSources);
   }
 
   /** Time until `runTick` has something to do, in milliseconds. */
@@ -114,7 +124,10 @@
     const { lease, clock } = this.#ports;
     if (lease.remainingMs >= WEAK_LEASE_MS || this.#failedRounds < CUT_OFF_ROUNDS) return false;
     const isIsolated = clock.now() - this.#answeredAt > ISOLATED_MS;
-    const newerAt = this.#deferred?.startedAt ?? Number.NEGATIVE_INFINITY;
+    const newerAt = Math.max(
+      ...[...this.#deferred.values()].map(({ startedAt }) => startedAt),
+      Number.NEGATIVE_INFINITY,
+    );
     return isIsolated || newerAt > lease.startedAt + GOOD_AGE_MS;
   }
 
@@ -130,11 +143,17 @@
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, lostMs));
   }
 
+  /** Whether a configuration in force was ever proven to be the newest. */
+  get hasProof(): boolean {
+    return this.#corroboration.provenEra !== undefined;
+  }
+
   /** Begins a round of questions if one is due. */
   runTick(): void {
     if (!this.#ports.getConfiguration()) return;
     const now = this.#ports.clock.now();
     this.#applyDeferred();
+    this.#applyProvenRead();
     this.#expireQuestions(now);
     if (now < this.#nextRoundAt) return;
     this.#failedRounds = this.#isAsking ? this.#failedRounds + 1 : 0;
@@ -143,20 +162,39 @@
     this.#ask(now);
   }
 
-  /** Records that a call to the store, which began at `beganAt`, has shown what the store holds. */
-  recordRead(beganAt: number): void {
+  /**
+   * Records that a call to the store, which began at `beganAt`, has shown what the store holds in an era.
+   */
+  recordRead(beganAt: number, era: number): void {
     const now = this.#ports.clock.now();
     // The next call begins now, and lasts about as long.
-    this.#ports.lease.recordConfirmation(beganAt, now + (now - beganAt) + READ_ROOM_MS);
-    this.#finishRound(beganAt + OWN_READ_MS);
+    const expectedAt = now + (now - beganAt) + READ_ROOM_MS;
+    const wasWaiting = this.#corroboration.isWaiting;
+    if (this.#corroboration.acceptRead(era, { beganAt, expectedAt })) {
+      this.#recordProof(beganAt, expectedAt);
+    } else if (!wasWaiting && this.#corroboration.isWaiting) this.#nextRoundAt = now;
+    this.#applyProvenRead();
   }
 
-  /** Builds the answer to a question; undefined if this daemon has no lease to tell of. */
+  /**
+   * Builds the answer to a question; undefined if this daemon has no configuration. The eras in it end
+   * with the one in which its lease was proven.
+   */
   buildAnswer(nonce: number): LeaseAnswer | undefined {
     const { lease, getConfiguration } = this.#ports;
     const configuration = getConfiguration();
-    if (!configuration || lease.startedAt === Number.NEGATIVE_INFINITY) return undefined;
-    return { nonce, ageMs: lease.ageMs, renewsInMs: lease.renewsInMs, configuration };
+    if (!configuration) return undefined;
+    const { provenEra } = this.#corroboration;
+    const eras = listErasUntil(configuration.eras, provenEra);
+    if (!eras) return { nonce, ageMs: Number.POSITIVE_INFINITY, renewsInMs: 0, configuration };
+    const { ageMs, renewsInMs } = lease;
+    return { nonce, ageMs, renewsInMs, configuration: { ...configuration, eras } };
+  }
+
+  /** Whether a question with this nonce waits for an answer from an address. */
+  hasAsked(nonce: number, address: string): boolean {
+    this.#expireQuestions(this.#ports.clock.now());
+    return this.#questions.get(nonce)?.source.address === address;
   }
 
   /** Takes in an answer; one that nobody asked for, or that comes late, is ignored. */
@@ -167,28 +205,49 @@
     if (question?.source.address !== address) return;
     this.#questions.delete(nonce);
     this.#answeredAt = now;
-    const startedAt = question.sentAt - Math.max(0, ageMs);
+    const { source, sentAt: askedAt } = question;
+    const startedAt = askedAt - Math.max(0, ageMs);
     const expectedAt = now + (renewsInMs || OVERDUE_INTERVAL_MS);
+    const answer = { source, askedAt, startedAt, expectedAt, configuration };
     if (!this.#ports.hasConfiguration(configuration)) {
-      if (startedAt > (this.#deferred?.startedAt ?? Number.NEGATIVE_INFINITY)) {
-        this.#deferred = { startedAt, expectedAt, configuration };
-      }
+      this.#deferred.set(source.id, answer);
       return;
     }
-    this.#ports.lease.recordConfirmation(startedAt, expectedAt);
-    if (ageMs > GOOD_AGE_MS) return;
-    this.#recordGoodSource(question.source);
-    this.#finishRound(this.#computeNextRoundAt(expectedAt));
+    this.#deferred.delete(source.id);
+    if (ageMs <= GOOD_AGE_MS) this.#recordGoodSource(source);
+    this.#acceptAnswer(answer);
   }
 
   /** An answer counts as soon as the configuration that it is about is in force. */
   #applyDeferred(): void {
-    const deferred = this.#deferred;
-    if (!deferred || !this.#ports.hasConfiguration(deferred.configuration)) return;
-    this.#deferred = undefined;
-    this.#ports.lease.recordConfirmation(deferred.startedAt, deferred.expectedAt);
-    if (this.#ports.clock.now() - deferred.startedAt > GOOD_AGE_MS) return;
-    this.#finishRound(this.#computeNextRoundAt(deferred.expectedAt));
+    [...this.#deferred.values()]
+      .filter(({ configuration }) => this.#ports.hasConfiguration(configuration))
+      .forEach((answer) => {
+        this.#deferred.delete(answer.source.id);
+        this.#acceptAnswer(answer);
+      });
+  }
+
+  #acceptAnswer({ source, askedAt, startedAt, expectedAt, configuration }: DeferredAnswer): void {
+    const { lease, clock } = this.#ports;
+    const isWitness = startedAt > Number.NEGATIVE_INFINITY;
+    if (isWitness) lease.recordConfirmation(startedAt, expectedAt);
+    const provenEra = isWitness ? computeProvenEra(configuration) : undefined;
+    this.#corroboration.recordAnswer(source.id, askedAt, provenEra);
+    this.#applyProvenRead();
+    if (clock.now() - startedAt > GOOD_AGE_MS) return;
+    this.#finishRound(this.#computeNextRoundAt(expectedAt));
+  }
+
+  /** An own read counts as soon as other daemons have corroborated it. */
+  #applyProvenRead(): void {
+    const read = this.#corroboration.takeProvenRead();
+    if (read) this.#recordProof(read.beganAt, read.expectedAt);
+  }
+
+  #recordProof(beganAt: number, expectedAt: number): void {
+    this.#ports.lease.recordConfirmation(beganAt, expectedAt);
+    this.#finishRound(beganAt + OWN_READ_MS);
   }
 
   /** A reader of the own data centre is preferred to any other daemon. */
@@ -201,7 +260,9 @@
   #finishRound(nextRoundAt: number): void {
     this.#isAsking = false;
     this.#failedRounds = 0;
-    this.#nextRoundAt = Math.max(nextRoundAt, this.#ports.clock.now() + MIN_INTERVAL_MS);
+    const now = this.#ports.clock.now();
+    const latestAt = this.#corroboration.isWaiting ? now + ANSWER_TIMEOUT_MS : nextRoundAt;
+    this.#nextRoundAt = Math.max(Math.min(nextRoundAt, latestAt), now + MIN_INTERVAL_MS);
   }
 
   #computeNextRoundAt(expectedAt: number): number {
@@ -215,18 +276,24 @@
   }
 
   #computeTimeoutMs(): number {
-    return this.#failedRounds < MAX_QUICK_ROUNDS ? ANSWER_TIMEOUT_MS : RETRY_INTERVAL_MS;
+    const quickRounds = this.hasProof ? MAX_QUICK_ROUNDS : MAX_QUICK_START_ROUNDS;
+    return this.#failedRounds < quickRounds ? ANSWER_TIMEOUT_MS : RETRY_INTERVAL_MS;
   }
 
   #ask(now: number): void {
-    const { listSources, random, send } = this.#ports;
-    chooseLeaseSources(listSources(), this.#failedRounds, this.#preferredId, random).forEach(
-      (source) => {
-        const nonce = Math.floor(random.next() * NONCE_RANGE);
-        this.#questions.set(nonce, { source, sentAt: now });
-        send(nonce, source);
-      },
-    );
+    const { random, send } = this.#ports;
+    this.#chooseSources().forEach((source) => {
+      const nonce = Math.floor(random.next() * NONCE_RANGE);
+      this.#questions.set(nonce, { source, sentAt: now });
+      send(nonce, source);
+    });
+  }
+
+  #chooseSources(): readonly LeaseSource[] {
+    const { listSources, random } = this.#ports;
+    const unheard = this.#corroboration.isWaiting ? this.#corroboration.listUnheard() : [];
+    if (unheard.length > 0) return unheard;
+    return chooseLeaseSources(listSources(), this.#failedRounds, this.#preferredId, random);
   }
 
   #expireQuestions(now: number): void {
--- a/packages/core/src/key-lease/simulated-lease-fleet.ts
+++ b/packages/core/src/key-lease/simulated-lease-fleet.ts
@@ -1,6 +1,7 @@
 /**
- * A simulated fleet whose daemons hold key leases, for tests: a store, readers that watch it, daemons
- * that learn of configurations from readers, and a network that loses, delays and reorders datagrams.
+ * A simulated fleet whose daemons hold key leases, for tests: a store that may come back from an older
+ * copy, readers that watch it, daemons that learn of configurations from readers and that start again,
+ * and a network that loses, delays and reorders datagrams.
  * Every version of the configuration removes a key of the version before.
  */
 import { createRandom } from '../runtime/index.js';
@@ -19,7 +20,9 @@
 const STORE_DELAY_MS = 5;
 const STORE_TIMEOUT_MS = 1200;
 const MAX_STORE_RETRY_MS = 1000;
-const MAX_DELAY_MS = 10;
+const DEFAULT_MAX_DELAY_MS = 10;
+/** The operator writes again within this time what a restore has lost. */
+const MAX_REWRITE_MS = 8000;
 /** A few datagrams arrive this late, behind later ones. */
 const MAX_LATE_MS = 3000;
 /** Daemons of each data centre that read the store if those before them cannot. */
@@ -31,17 +34,23 @@
   readonly seed: number;
   readonly lossProbability: number;
   readonly lateProbability: number;
+  /** Longest delay of the other datagrams. */
+  readonly maxDelayMs?: number;
 };
 
 export type SimulatedLeaseDaemon = {
   readonly id: string;
   readonly dataCentre: number;
   readonly rank: number;
-  readonly lease: KeyLease;
-  readonly renewal: LeaseRenewal;
+  lease: KeyLease;
+  renewal: LeaseRenewal;
   readonly clock: Clock;
-  /** Version of its configuration. */
+  /** Version of its configuration; 0 before the first one. */
   version: number;
+  /** Newest era of the store that it knows; 0 before the first one. */
+  era: number;
+  /** How often it has started. */
+  starts: number;
   isCutFromStore: boolean;
   /** Daemons of different groups do not reach each other. */
   group: number;
@@ -61,12 +70,18 @@
 
   isStoreSilent = false;
 
+  /** Whether the store acknowledges nothing either. */
+  #isAway = false;
+
   /** Questions sent to daemons of another data centre, and all. */
   readonly questions = { far: 0, all: 0 };
 
   /** Times at which the store acknowledged versions 1, 2 and so on. */
   #acknowledgedAt: readonly number[] = [0];
 
+  /** What the store holds. */
+  #stored = { version: 1, era: 1 };
+
   readonly #settings: SimulatedLeaseSettings;
 
   readonly #random: RandomSource;
@@ -100,7 +115,43 @@
 
   /** The store acknowledges a configuration without a key of the one before. */
   publish(): void {
+    if (this.#isAway) return;
     this.#acknowledgedAt = [...this.#acknowledgedAt, this.now];
+    this.#stored = { ...this.#stored, version: this.version };
+  }
+
+  /**
+   * The store is away for some time and comes back from a copy with an earlier version; the operator
+   * writes the newest one again later. Does nothing if no daemon of the first data centre, which never
+   * start again, knows the newest version: nobody could tell of it.
+   */
+  restore(awayMs: number, versions: number): void {
+    const isKnown = this.daemons.some(
+      ({ dataCentre, version }) => dataCentre === 0 && version === this.version,
+    );
+    if (this.isStoreSilent || !isKnown) return;
+    this.isStoreSilent = true;
+    this.#isAway = true;
+    this.#schedule(awayMs, () => {
+      this.isStoreSilent = false;
+      this.#isAway = false;
+      const version = Math.max(1, this.version - versions);
+      this.#stored = { version, era: this.#stored.era + 1 };
+    });
+    this.#schedule(awayMs + this.#random.next() * MAX_REWRITE_MS, () => {
+      this.#stored = { ...this.#stored, version: this.version };
+    });
+  }
+
+  /** A daemon is gone for some time, and starts again without any knowledge. */
+  kill(daemon: SimulatedLeaseDaemon, ms: number): void {
+    if (daemon.isSuspended) return;
+    Object.assign(daemon, { isSuspended: true, isDeaf: true });
+    this.#schedule(ms, () => {
+      const starts = daemon.starts + 1;
+      Object.assign(daemon, { version: 0, era: 0, starts, isSuspended: false, isReading: false });
+      Object.assign(daemon, this.#createLease(daemon));
+    });
   }
 
   /** Suspends a VM, whose monotonic clock then stands still, or stops a process, whose does not. */
@@ -172,8 +223,9 @@
   /** A watch: the answer shows what the store held at some time between the call and the answer. */
   #read(daemon: SimulatedLeaseDaemon): void {
     const beganAt = daemon.clock.now();
+    const { starts } = daemon;
     const finish = (): void => {
-      Object.assign(daemon, { isReading: false });
+      if (daemon.starts === starts) Object.assign(daemon, { isReading: false });
     };
     const fail = (): void =>
       this.#scheduleAt(daemon, STORE_TIMEOUT_MS + this.#random.next() * MAX_STORE_RETRY_MS, finish);
@@ -183,14 +235,17 @@
       fail();
       return;
     }
-    const shownAfterMs = this.#random.next() * WATCH_MS;
+    // A store that does not have the revision that a daemon knows answers at once, as to the first read.
+    const waitMs = daemon.version === 0 || daemon.era < this.#stored.era ? 0 : WATCH_MS;
+    const shownAfterMs = this.#random.next() * waitMs;
     this.#schedule(shownAfterMs, () => {
-      const { version } = this;
+      const { version, era } = this.#stored;
       if (!isOpen()) fail();
       else {
-        this.#scheduleAt(daemon, WATCH_MS - shownAfterMs + STORE_DELAY_MS, () => {
-          Object.assign(daemon, { version: Math.max(daemon.version, version) });
-          daemon.renewal.recordRead(beganAt);
+        this.#scheduleAt(daemon, waitMs - shownAfterMs + STORE_DELAY_MS, () => {
+          if (daemon.starts !== starts) return;
+          this.#applyNews(daemon, { version, era });
+          if (era === daemon.era) daemon.renewal.recordRead(beganAt, era);
           finish();
           if (this.#shouldRead(daemon)) this.#read(daemon);
         });
@@ -198,25 +253,34 @@
     });
   }
 
+  #applyNews(
+    daemon: SimulatedLeaseDaemon,
+    { version, era }: Pick<SimulatedLeaseDaemon, 'version' | 'era'>,
+  ): void {
+    Object.assign(daemon, {
+      version: Math.max(daemon.version, version),
+      era: Math.max(daemon.era, era),
+    });
+  }
+
   #pollReaders(daemon: SimulatedLeaseDaemon): void {
     this.daemons
       .filter(({ rank, id }) => rank < 2 && id !== daemon.id)
       .filter(({ dataCentre }) => daemon.rank < 2 || dataCentre === daemon.dataCentre)
       .forEach((reader) =>
         this.#send(daemon, reader, () => {
-          const { version } = reader;
-          this.#send(reader, daemon, () => {
-            Object.assign(daemon, { version: Math.max(daemon.version, version) });
-          });
+          const { version, era } = reader;
+          this.#send(reader, daemon, () => this.#applyNews(daemon, { version, era }));
         }),
       );
   }
 
   #send(from: SimulatedLeaseDaemon, to: SimulatedLeaseDaemon, run: () => void): void {
-    const { lossProbability, lateProbability } = this.#settings;
+    const { lossProbability, lateProbability, maxDelayMs } = this.#settings;
     if (from.group !== to.group || this.#random.next() < lossProbability) return;
     const isLate = this.#random.next() < lateProbability;
-    const delayMs = this.#random.next() * (isLate ? MAX_LATE_MS : MAX_DELAY_MS);
+    const delayMs =
+      this.#random.next() * (isLate ? MAX_LATE_MS : (maxDelayMs ?? DEFAULT_MAX_DELAY_MS));
     this.#schedule(delayMs, () => {
       if (!to.isSuspended) run();
       else if (!to.isDeaf) this.#scheduleAt(to, STEP_MS, run);
@@ -258,6 +322,8 @@
       dataCentre,
       rank,
       version: 1,
+      era: 1,
+      starts: 0,
       isCutFromStore: false,
       group: 0,
       isSuspended: false,
@@ -269,6 +335,14 @@
     const clock = new AgingClock({ now: () => this.now + state.monotonicOffset }, () =>
       Math.floor(this.now + state.wallOffset),
     );
+    const daemon = Object.assign(state, { clock });
+    return Object.assign(daemon, this.#createLease(daemon));
+  }
+
+  #createLease(
+    state: Pick<SimulatedLeaseDaemon, 'id' | 'dataCentre' | 'rank' | 'version' | 'era' | 'clock'>,
+  ): Pick<SimulatedLeaseDaemon, 'lease' | 'renewal'> {
+    const { clock, rank } = state;
     const lease = new KeyLease(computeKeyLeaseSettings(REVOCATION_MS), clock);
     const renewal = new LeaseRenewal({
       clock,
@@ -277,12 +351,15 @@
       isDispatcher: () => rank < 2,
       listSources: () => this.#listSources(state),
       getConfiguration: () => {
-        const { version } = state;
-        return { version, era: 1, revision: version, eras: [] };
+        const { version, era } = state;
+        if (version === 0) return undefined;
+        const eras = Array.from({ length: era }, (_, index) => [index + 1, 0] as [number, number]);
+        return { version, era: 1, revision: version, eras };
       },
-      hasConfiguration: ({ version }) => state.version >= version,
+      hasConfiguration: ({ version, eras }) =>
+        state.version >= version && eras.every(([era]) => era <= state.era),
       send: (nonce, source) => this.#ask(state.id, nonce, source.id),
     });
-    return Object.assign(state, { lease, renewal, clock });
+    return { lease, renewal };
   }
 }
--- a/packages/core/src/key-lease/types.ts
+++ b/packages/core/src/key-lease/types.ts
@@ -18,10 +18,10 @@
 
 export type LeaseAnswer = {
   readonly nonce: number;
-  /** Age of the answering daemon's lease, in milliseconds. */
+  /** Age of the answering daemon's lease, in milliseconds; Infinity if it never had one. */
   readonly ageMs: number;
   /** Time until that daemon expects its next confirmation, in milliseconds. */
   readonly renewsInMs: number;
-  /** The configuration that its lease is about. */
+  /** The configuration that its lease is about; its eras end with the one in which it was proven. */
   readonly configuration: ConfigurationPosition;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -390,7 +390,8 @@
   }
 
   async #waitForConfiguration(): Promise<void> {
-    if (this.#services.routes || this.#phase !== 'joining') return;
+    const isServing = this.#services.routes && this.#keyLease.isConfigurationProven;
+    if (isServing || this.#phase !== 'joining') return;
     await wait(POLL_INTERVAL_MS);
     await this.#waitForConfiguration();
   }
@@ -604,7 +605,7 @@
       clock: this.#clock,
       dialect: this.#platform.http,
       heldBytes: this.#heldBytes,
-      getRoutes: () => this.#getRoutes(),
+      getRoutes: () => this.#getProvenRoutes(),
       isConfigurationNewest: () => this.#isConfigurationNewest,
       canServe: () => this.#canServe(),
       drawStartupRetryMs: () =>
@@ -625,7 +626,7 @@
   }
 
   #canServe(): boolean {
-    const routes = this.#getRoutes();
+    const routes = this.#getProvenRoutes();
     return routes !== undefined && (!routes.accounts || this.#keyLease.validity.mayAccept());
   }
 
@@ -682,6 +683,11 @@
     return this.#services.routes;
   }
 
+  /** The routes that callers may use: none before the configuration is known to be the newest. */
+  #getProvenRoutes(): RouteTable | undefined {
+    return this.#keyLease.isConfigurationProven ? this.#getRoutes() : undefined;
+  }
+
   #refreshServices(): void {
     clearTimeout(this.#refreshTimer);
     this.#refreshTimer = undefined;
--- a/packages/gateway/src/key-lease/fleet-key-lease.ts
+++ b/packages/gateway/src/key-lease/fleet-key-lease.ts
@@ -10,7 +10,14 @@
   KeyLease,
   LeaseRenewal,
 } from '@baobabline/core';
-import type { Clock, LeaseSources, RandomSource, Replica, RouteTable } from '@baobabline/core';
+import type {
+  Clock,
+  LeaseAnswer,
+  LeaseSources,
+  RandomSource,
+  Replica,
+  RouteTable,
+} from '@baobabline/core';
 import type { Log } from '@baobabline/daemon';
 
 import { UNBOUNDED_KEY_VALIDITY } from '../caller-keys/index.js';
@@ -75,6 +82,9 @@
 
   #isCutOff = false;
 
+  /** The last answers of daemons that have not said how they decode records, by address. */
+  readonly #heldAnswers = new Map<string, LeaseAnswer>();
+
   /** When the lease was last seen to end. */
   #endedAt = 0;
 
@@ -94,8 +104,7 @@
     });
     socket.setHandler('lease-answer', (body, sender) => {
       const answer = parseLeaseAnswer(body);
-      const isUsed = answer !== undefined && this.isNeeded && dependencies.isSource(sender);
-      if (isUsed) this.#renewal.handleAnswer(answer, sender);
+      if (answer && this.isNeeded) this.#handleAnswer(answer, sender);
       return answer !== undefined;
     });
   }
@@ -106,6 +115,14 @@
     return isStrict && replica.configuration?.accounts !== undefined;
   }
 
+  /**
+   * Whether the configuration in force may be used: the daemon was shown once that it is the newest, or
+   * no lease is needed. Before that it may be one that was replaced and came back with an older store.
+   */
+  get isConfigurationProven(): boolean {
+    return !this.isNeeded || this.#renewal.hasProof;
+  }
+
   /** Age of the lease in milliseconds; 0 if none is needed. */
   get ageMs(): number {
     return this.isNeeded ? this.#lease.ageMs : 0;
@@ -123,8 +140,8 @@
   get confirmations(): StoreConfirmations {
     return {
       now: this.#clock.now,
-      recordRead: (beganAt) => {
-        if (!this.#isOutdated) this.#renewal.recordRead(beganAt);
+      recordRead: (beganAt, era) => {
+        if (!this.#isOutdated) this.#renewal.recordRead(beganAt, era);
       },
     };
   }
@@ -155,6 +172,7 @@
     clearTimeout(this.#timer);
     if (this.#isStopped) return;
     if (this.isNeeded) {
+      this.#handleHeldAnswers();
       this.#renewal.runTick();
       const delayMs = Math.min(MAX_TIMER_MS, Math.max(MIN_TIMER_MS, this.#renewal.idleMs));
       this.#timer = setTimeout(this.runTick, delayMs);
@@ -200,6 +218,21 @@
     };
   }
 
+  /**
+   * The first answer of a daemon since this one has started is kept until that daemon has said how it
+   * decodes records.
+   */
+  #handleAnswer(answer: LeaseAnswer, sender: string): void {
+    if (this.#dependencies.isSource(sender)) this.#renewal.handleAnswer(answer, sender);
+    else if (this.#renewal.hasAsked(answer.nonce, sender)) this.#heldAnswers.set(sender, answer);
+  }
+
+  #handleHeldAnswers(): void {
+    const held = [...this.#heldAnswers];
+    this.#heldAnswers.clear();
+    held.forEach(([sender, answer]) => this.#handleAnswer(answer, sender));
+  }
+
   #answer(nonce: number, sender: string): void {
     const answer = this.#renewal.buildAnswer(nonce);
     if (!answer) return;
@@ -225,7 +258,8 @@
       lease: this.#lease,
       isDispatcher: () => fleet.isDispatcher,
       listSources: () => this.#listSources(),
-      getConfiguration: () => (this.isNeeded ? replica.configurationPosition : undefined),
+      getConfiguration: () =>
+        this.#dependencies.isStrict ? replica.configurationPosition : undefined,
       hasConfiguration: (position) => replica.hasConfiguration(position),
       send: (nonce, { address }) =>
         socket.send('lease-question', formatLeaseQuestion(nonce), address),
--- a/packages/gateway/src/key-lease/messages.ts
+++ b/packages/gateway/src/key-lease/messages.ts
@@ -8,6 +8,7 @@
   durationField,
   eraField,
   MAX_KNOWN_ERAS,
+  MAX_TIMER_MS,
   revisionField,
 } from '@baobabline/core';
 import type { LeaseAnswer } from '@baobabline/core';
@@ -15,6 +16,8 @@
 
 import { formatBody, parseBody } from '../datagrams/index.js';
 
+/** States that a daemon never had a lease. */
+const NO_LEASE_AGE_MS = MAX_TIMER_MS;
 /** An answer with all eras that a daemon remembers takes about 200 bytes. */
 const MAX_BODY_BYTES = 400;
 
@@ -45,7 +48,7 @@
   renewsInMs,
   configuration: { version, era, revision, eras },
 }: LeaseAnswer): Buffer {
-  const ages = [Math.ceil(ageMs), Math.ceil(renewsInMs)];
+  const ages = [Math.min(NO_LEASE_AGE_MS, Math.ceil(ageMs)), Math.ceil(renewsInMs)];
   return formatBody([nonce, ...ages, version, era, revision, eras]);
 }
 
@@ -54,6 +57,7 @@
   if (body.length > MAX_BODY_BYTES) return undefined;
   const parsed = parseBody(body, answerSchema);
   if (!parsed) return undefined;
-  const [nonce, ageMs, renewsInMs, version, era, revision, eras] = parsed;
+  const [nonce, statedAgeMs, renewsInMs, version, era, revision, eras] = parsed;
+  const ageMs = statedAgeMs >= NO_LEASE_AGE_MS ? Number.POSITIVE_INFINITY : statedAgeMs;
   return { nonce, ageMs, renewsInMs, configuration: { version, era, revision, eras } };
 }
--- a/packages/gateway/src/record-sync/store-reader.ts
+++ b/packages/gateway/src/record-sync/store-reader.ts
@@ -17,10 +17,10 @@
   /** The time by which the age of a confirmation is measured, in milliseconds. */
   now(): number;
   /**
-   * Records that a call has shown all that the store held when the call began. The answer to a watch
-   * may be older than its arrival.
+   * Records that a call has shown all that the store held, in an era, when the call began. The answer
+   * to a watch may be older than its arrival.
    */
-  recordRead(beganAt: number): void;
+  recordRead(beganAt: number, era: number): void;
 }
 
 export type StoreReaderDependencies = {
@@ -205,7 +205,7 @@
     this.#isFirstWatch = false;
     this.#readEra = era;
     this.#readBoundChanges = replica.boundChanges;
-    confirmations.recordRead(beganAt);
+    confirmations.recordRead(beganAt, era);
     onChanged();
     this.#recordSuccess();
     if (isInGrace) await wait(Math.min(GRACE_READ_MS, graceUntil - now));
@@ -235,7 +235,7 @@
     }
     this.#historyLosses = 0;
     const changedRecords = replica.applyStoreChanges(era, changes, clock.now());
-    confirmations.recordRead(beganAt);
+    confirmations.recordRead(beganAt, era);
     if (changedRecords.length === 0) return;
     onChanged();
     this.#recordSuccess();
