Let a fleet that starts as a whole serve sooner

Change: a daemon that knows others, all of which say that they have just started, waits one gossip interval (0.7 s) from its start; one that knows no other still waits 1.5 s. A daemon without a configuration says so too, where its silence held up others on slow VMs. Who was told that there is no lease yet is answered again as soon as there is one. A daemon is named to callers while it holds their requests, as before. 'key-lease-ended' is no longer logged where there was no lease.

--- a/packages/core/src/key-lease/lease-renewal.ts
+++ b/packages/core/src/key-lease/lease-renewal.ts
@@ -79,6 +79,8 @@
 const MIN_RETRY_AFTER_MS = 500;
 const MAX_RETRY_AFTER_MS = 2000;
 const NONCE_RANGE = 2 ** 32;
+/** What a daemon without a configuration states: any other one is as new. */
+const NO_CONFIGURATION: ConfigurationPosition = { version: 0, era: 0, revision: 0, eras: [] };
 
 export class LeaseRenewal {
   readonly #ports: LeaseRenewalPorts;
@@ -112,7 +114,8 @@
 
   /** Time until `runTick` has something to do, in milliseconds. */
   get idleMs(): number {
-    return Math.max(0, this.#nextRoundAt - this.#ports.clock.now());
+    const dueAt = Math.min(this.#nextRoundAt, this.#corroboration.endsAt ?? Infinity);
+    return Math.max(0, dueAt - this.#ports.clock.now());
   }
 
   /**
@@ -176,14 +179,10 @@
     this.#applyProvenRead();
   }
 
-  /**
-   * Builds the answer to a question; undefined if this daemon has no configuration. The eras in it end
-   * with the one in which its lease was proven.
-   */
-  buildAnswer(nonce: number): LeaseAnswer | undefined {
+  /** Builds the answer to a question. The eras in it end with the one in which the lease was proven. */
+  buildAnswer(nonce: number): LeaseAnswer {
     const { lease, getConfiguration } = this.#ports;
-    const configuration = getConfiguration();
-    if (!configuration) return undefined;
+    const configuration = getConfiguration() ?? NO_CONFIGURATION;
     const { provenEra } = this.#corroboration;
     const eras = listErasUntil(configuration.eras, provenEra);
     if (!eras) return { nonce, ageMs: Number.POSITIVE_INFINITY, renewsInMs: 0, configuration };
@@ -203,7 +202,8 @@
     this.#expireQuestions(now);
     const question = this.#questions.get(nonce);
     if (question?.source.address !== address) return;
-    this.#questions.delete(nonce);
+    // A daemon that never had a lease answers once more when it has one.
+    if (ageMs !== Number.POSITIVE_INFINITY) this.#questions.delete(nonce);
     this.#answeredAt = now;
     const { source, sentAt: askedAt } = question;
     const startedAt = askedAt - Math.max(0, ageMs);
--- a/packages/core/src/key-lease/read-corroboration.ts
+++ b/packages/core/src/key-lease/read-corroboration.ts
@@ -11,7 +11,7 @@
  *
  * Load patterns:
  * - One daemon starts, or a data centre, while the others run: their first answer ends the wait.
- * - The whole fleet starts, and nobody knows anything: all say so, and the wait ends after a fixed time.
+ * - The whole fleet starts, and nobody knows anything: all say so, and the wait ends after a gossip interval.
  * - A restore, seen by all readers at the same time: one round of questions ends the wait.
  * - A daemon was partitioned or stopped during the restore: it waits until the others answer again.
  */
@@ -40,8 +40,13 @@
 const MIN_NEAR_ANSWERS = 2;
 /** Daemons of the own data centre that are asked. */
 const MAX_NEAR_QUESTIONS = 4;
-/** Time for other daemons to become known, before a daemon takes itself for the first one. */
+/** Time from the start after which a daemon that knows of no other takes itself for the first one. */
 const FIRST_DAEMON_MS = 1500;
+/**
+ * The same where others are known, all of which have just started. Daemons that run gossip at this interval,
+ * so that one that is still unknown makes itself known.
+ */
+const FIRST_FLEET_MS = 700;
 /** Time after which sources that never answer are waited for no longer. */
 const MAX_WAIT_MS = 10_000;
 
@@ -50,12 +55,15 @@
 
   readonly #listSources: () => LeaseSources;
 
+  readonly #startedAt: number;
+
   #provenEra: number | undefined;
 
   #wait: Wait | undefined;
 
   constructor(clock: Clock, listSources: () => LeaseSources) {
     this.#clock = clock;
+    this.#startedAt = clock.now();
     this.#listSources = listSources;
   }
 
@@ -69,6 +77,13 @@
     return this.#provenEra;
   }
 
+  /** When the wait may end without a further answer; undefined if it can't. */
+  get endsAt(): number | undefined {
+    if (!this.#wait || this.#wait.hasWitness) return undefined;
+    const endsAt = this.#wait.since + this.#firstDaemonMs;
+    return endsAt > this.#clock.now() ? endsAt : undefined;
+  }
+
   /** Returns whether a read counts by itself; if it does not, it is kept until others have answered. */
   acceptRead(era: number, read: OwnRead): boolean {
     const newest = Math.max(this.#provenEra ?? -Infinity, this.#wait?.era ?? -Infinity);
@@ -112,16 +127,23 @@
     return [...near, ...farReaders].filter(({ id }) => !this.#wait?.heard.has(id));
   }
 
+  get #firstDaemonMs(): number {
+    const { nearReaders, nearOthers, farReaders } = this.#listSources();
+    const isAlone = nearReaders.length + nearOthers.length + farReaders.length === 0;
+    return isAlone ? FIRST_DAEMON_MS : FIRST_FLEET_MS;
+  }
+
   #createWait(era: number, read: OwnRead): Wait {
-    return { era, since: this.#clock.now(), heard: new Set(), hasWitness: false, read };
+    const since = this.#provenEra === undefined ? this.#startedAt : this.#clock.now();
+    return { era, since, heard: new Set(), hasWitness: false, read };
   }
 
   #hasHeardAll({ since, heard, hasWitness }: Wait): boolean {
     const waitedMs = this.#clock.now() - since;
     if (waitedMs >= MAX_WAIT_MS) return true;
-    if (!hasWitness && waitedMs < FIRST_DAEMON_MS) return false;
     const { nearReaders, nearOthers, farReaders } = this.#listSources();
     const near = [...nearReaders, ...nearOthers];
+    if (!hasWitness && waitedMs < this.#firstDaemonMs) return false;
     const nearHeard = near.filter(({ id }) => heard.has(id)).length;
     const hasFar = farReaders.every(({ id }) => heard.has(id));
     return hasFar && nearHeard >= Math.min(MIN_NEAR_ANSWERS, near.length);
--- a/packages/core/src/key-lease/simulated-lease-fleet.ts
+++ b/packages/core/src/key-lease/simulated-lease-fleet.ts
@@ -294,9 +294,7 @@
     if (target.dataCentre !== daemon.dataCentre) this.questions.far += 1;
     this.#send(daemon, target, () => {
       const answer = target.renewal.buildAnswer(nonce);
-      if (answer) {
-        this.#send(target, daemon, () => daemon.renewal.handleAnswer(answer, target.id));
-      }
+      this.#send(target, daemon, () => daemon.renewal.handleAnswer(answer, target.id));
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -390,8 +390,7 @@
   }
 
   async #waitForConfiguration(): Promise<void> {
-    const isServing = this.#services.routes && this.#keyLease.isConfigurationProven;
-    if (isServing || this.#phase !== 'joining') return;
+    if (this.#services.routes || this.#phase !== 'joining') return;
     await wait(POLL_INTERVAL_MS);
     await this.#waitForConfiguration();
   }
--- a/packages/gateway/src/key-lease/fleet-key-lease.ts
+++ b/packages/gateway/src/key-lease/fleet-key-lease.ts
@@ -55,6 +55,8 @@
 
 /** Time after which callers try again while the store's configuration cannot be used here. */
 const UNUSABLE_RETRY_AFTER_MS = 2000;
+/** Above the number of daemons that ask one that starts. */
+const MAX_OPEN_QUESTIONS = 1000;
 /** Bounds of the time until the next look whether a round is due. */
 const MIN_TIMER_MS = 5;
 const MAX_TIMER_MS = 200;
@@ -82,6 +84,9 @@
 
   #isCutOff = false;
 
+  /** Last questions that came before this daemon had a lease, by the address of the daemon that asked. */
+  readonly #openQuestions = new Map<string, number>();
+
   /** The last answers of daemons that have not said how they decode records, by address. */
   readonly #heldAnswers = new Map<string, LeaseAnswer>();
 
@@ -174,6 +179,7 @@
     if (this.isNeeded) {
       this.#handleHeldAnswers();
       this.#renewal.runTick();
+      this.#answerAgain();
       const delayMs = Math.min(MAX_TIMER_MS, Math.max(MIN_TIMER_MS, this.#renewal.idleMs));
       this.#timer = setTimeout(this.runTick, delayMs);
     }
@@ -189,7 +195,8 @@
     const { log, onCutOffChange } = this.#dependencies;
     const { isNeeded } = this;
     const isValid = !isNeeded || this.#lease.isValid;
-    if (this.#wasValid === true && !isValid) {
+    const hadLease = this.#lease.startedAt > Number.NEGATIVE_INFINITY;
+    if (this.#wasValid === true && !isValid && hadLease) {
       this.#endedAt = this.#clock.now();
       log.warn('key-lease-ended', { ageMs: Math.round(this.#lease.ageMs) });
     }
@@ -223,8 +230,10 @@
    * decodes records.
    */
   #handleAnswer(answer: LeaseAnswer, sender: string): void {
-    if (this.#dependencies.isSource(sender)) this.#renewal.handleAnswer(answer, sender);
-    else if (this.#renewal.hasAsked(answer.nonce, sender)) this.#heldAnswers.set(sender, answer);
+    if (this.#dependencies.isSource(sender)) {
+      this.#renewal.handleAnswer(answer, sender);
+      this.#answerAgain();
+    } else if (this.#renewal.hasAsked(answer.nonce, sender)) this.#heldAnswers.set(sender, answer);
   }
 
   #handleHeldAnswers(): void {
@@ -235,10 +244,19 @@
 
   #answer(nonce: number, sender: string): void {
     const answer = this.#renewal.buildAnswer(nonce);
-    if (!answer) return;
+    const isOpen = !this.#renewal.hasProof && this.#openQuestions.size < MAX_OPEN_QUESTIONS;
+    if (isOpen) this.#openQuestions.set(sender, nonce);
     this.#dependencies.socket.send('lease-answer', formatLeaseAnswer(answer), sender);
   }
 
+  /** Answers those again that were told that there is no lease yet; they wait for it to start. */
+  #answerAgain(): void {
+    if (!this.#renewal.hasProof) return;
+    const open = [...this.#openQuestions];
+    this.#openQuestions.clear();
+    open.forEach(([sender, nonce]) => this.#answer(nonce, sender));
+  }
+
   #listSources(): LeaseSources {
     const { ranks, selfId, readerCount } = this.#dependencies;
     const ranked = ranks.listNear();
