Listen for unknown daemons before taking a fleet for one that starts

Cause: a daemon took those that it knows for all there are.

Change: a datagram of a daemon that is no known member keeps the wait open, and that daemon is asked for its members at once.

Daemons that were dark for longer than others look for them, all seeds at once, are not covered.

--- a/packages/core/src/key-lease/key-lease.test.ts
+++ b/packages/core/src/key-lease/key-lease.test.ts
@@ -95,6 +95,7 @@
       lease,
       isDispatcher: () => true,
       listSources: () => ({ nearReaders: [reader], nearOthers: [other], farReaders: [far] }),
+      hasStranger: () => false,
       getConfiguration: () => ({ version, era: 1, revision: version, eras: [] }),
       hasConfiguration: (position) => version >= position.version,
       send: (nonce, source) => {
--- a/packages/core/src/key-lease/lease-renewal.ts
+++ b/packages/core/src/key-lease/lease-renewal.ts
@@ -26,6 +26,8 @@
   /** Whether callers send their requests to this daemon. */
   readonly isDispatcher: () => boolean;
   readonly listSources: () => LeaseSources;
+  /** Whether a daemon was heard lately that is not among the sources yet. */
+  readonly hasStranger: () => boolean;
   /** The configuration in force; undefined if it needs no lease. */
   readonly getConfiguration: () => ConfigurationPosition | undefined;
   /** Whether this configuration or a newer one is in force. */
@@ -109,7 +111,8 @@
 
   constructor(ports: LeaseRenewalPorts) {
     this.#ports = ports;
-    this.#corroboration = new ReadCorroboration(ports.clock, ports.listSources);
+    const { clock, listSources, hasStranger } = ports;
+    this.#corroboration = new ReadCorroboration(clock, listSources, hasStranger);
   }
 
   /** Time until `runTick` has something to do, in milliseconds. */
@@ -179,8 +182,12 @@
     this.#applyProvenRead();
   }
 
-  /** Builds the answer to a question. The eras in it end with the one in which the lease was proven. */
-  buildAnswer(nonce: number): LeaseAnswer {
+  /**
+   * Builds the answer to a question; undefined if this daemon has no lease, and may still hear of daemons
+   * that have one. The eras in it end with the one in which the lease was proven.
+   */
+  buildAnswer(nonce: number): LeaseAnswer | undefined {
+    if (!this.hasProof && !this.#corroboration.hasListened) return undefined;
     const { lease, getConfiguration } = this.#ports;
     const configuration = getConfiguration() ?? NO_CONFIGURATION;
     const { provenEra } = this.#corroboration;
--- a/packages/core/src/key-lease/read-corroboration.ts
+++ b/packages/core/src/key-lease/read-corroboration.ts
@@ -11,7 +11,7 @@
  *
  * Load patterns:
  * - One daemon starts, or a data centre, while the others run: their first answer ends the wait.
- * - The whole fleet starts, and nobody knows anything: all say so, and the wait ends after a gossip interval.
+ * - The whole fleet starts, and nobody knows anything: all say so, and the wait ends after a fixed time.
  * - A restore, seen by all readers at the same time: one round of questions ends the wait.
  * - A daemon was partitioned or stopped during the restore: it waits until the others answer again.
  */
@@ -43,8 +43,8 @@
 /** Time from the start after which a daemon that knows of no other takes itself for the first one. */
 const FIRST_DAEMON_MS = 1500;
 /**
- * The same where others are known, all of which have just started. Daemons that run gossip at this interval,
- * so that one that is still unknown makes itself known.
+ * The same where others are known, all of which have just started. Daemons that run poll their readers
+ * more often, so that one that is still unknown makes itself heard at one of them.
  */
 const FIRST_FLEET_MS = 700;
 /** Time after which sources that never answer are waited for no longer. */
@@ -55,16 +55,20 @@
 
   readonly #listSources: () => LeaseSources;
 
+  /** Whether a daemon was heard lately that is not among the sources yet. */
+  readonly #hasStranger: () => boolean;
+
   readonly #startedAt: number;
 
   #provenEra: number | undefined;
 
   #wait: Wait | undefined;
 
-  constructor(clock: Clock, listSources: () => LeaseSources) {
+  constructor(clock: Clock, listSources: () => LeaseSources, hasStranger: () => boolean) {
     this.#clock = clock;
     this.#startedAt = clock.now();
     this.#listSources = listSources;
+    this.#hasStranger = hasStranger;
   }
 
   /** Whether an own read waits for answers. */
@@ -77,6 +81,11 @@
     return this.#provenEra;
   }
 
+  /** Whether this daemon has run long enough to have heard of daemons that ran before it. */
+  get hasListened(): boolean {
+    return this.#clock.now() - this.#startedAt >= FIRST_FLEET_MS && !this.#hasStranger();
+  }
+
   /** When the wait may end without a further answer; undefined if it can't. */
   get endsAt(): number | undefined {
     if (!this.#wait || this.#wait.hasWitness) return undefined;
@@ -143,7 +152,7 @@
     if (waitedMs >= MAX_WAIT_MS) return true;
     const { nearReaders, nearOthers, farReaders } = this.#listSources();
     const near = [...nearReaders, ...nearOthers];
-    if (!hasWitness && waitedMs < this.#firstDaemonMs) return false;
+    if (!hasWitness && (waitedMs < this.#firstDaemonMs || this.#hasStranger())) return false;
     const nearHeard = near.filter(({ id }) => heard.has(id)).length;
     const hasFar = farReaders.every(({ id }) => heard.has(id));
     return hasFar && nearHeard >= Math.min(MIN_NEAR_ANSWERS, near.length);
--- a/packages/core/src/key-lease/simulated-lease-fleet.ts
+++ b/packages/core/src/key-lease/simulated-lease-fleet.ts
@@ -294,7 +294,9 @@
     if (target.dataCentre !== daemon.dataCentre) this.questions.far += 1;
     this.#send(daemon, target, () => {
       const answer = target.renewal.buildAnswer(nonce);
-      this.#send(target, daemon, () => daemon.renewal.handleAnswer(answer, target.id));
+      if (answer) {
+        this.#send(target, daemon, () => daemon.renewal.handleAnswer(answer, target.id));
+      }
     });
   }
 
@@ -348,6 +350,7 @@
       lease,
       isDispatcher: () => rank < 2,
       listSources: () => this.#listSources(state),
+      hasStranger: () => false,
       getConfiguration: () => {
         const { version, era } = state;
         if (version === 0) return undefined;
--- a/packages/daemon/src/fleet/gossip.ts
+++ b/packages/daemon/src/fleet/gossip.ts
@@ -101,6 +101,11 @@
     return this.#joinFirst(rest);
   }
 
+  /** Asks a daemon that may be no known member for all that it knows; resolves with whether it answered. */
+  async exchangeWith(endpoint: Endpoint): Promise<boolean> {
+    return this.#tryExchange(endpoint, true);
+  }
+
   /** Tells some peers at once, as of leaving. */
   async announce(count: number): Promise<void> {
     const { membership } = this.#ports;
--- a/packages/gateway/src/datagrams/fleet-socket.ts
+++ b/packages/gateway/src/datagrams/fleet-socket.ts
@@ -42,6 +42,8 @@
 export type FleetSocketDependencies = {
   readonly port: number;
   readonly onSent: (tag: DatagramTag, address: string, bytes: number) => void;
+  /** Called with the sender's address of each datagram. */
+  readonly onReceived?: (address: string) => void;
   readonly onFault: (reason: string) => void;
 };
 
@@ -94,6 +96,7 @@
     const handler = tag === undefined ? undefined : this.#handlers.get(tag);
     const body = datagram.length > 1 ? datagram.subarray(1) : NO_BODY;
     try {
+      this.#dependencies.onReceived?.(address);
       if (!handler?.(body, address))
         this.#dependencies.onFault(
           `datagram from ${address} has an unknown tag or an invalid body`,
--- a/packages/gateway/src/fleet/fleet-links.ts
+++ b/packages/gateway/src/fleet/fleet-links.ts
@@ -133,6 +133,12 @@
     this.#scheduleJoin(JOIN_RETRIES);
   }
 
+  /** Asks a daemon for all members that is known by its address only; daemons use the same port. */
+  askForMembers(address: string): void {
+    const { port } = this.#dependencies.settings.peers;
+    this.gossip.exchangeWith({ address, port }).catch(() => undefined);
+  }
+
   async announceState(state: 'serving' | 'leaving' | 'left'): Promise<void> {
     this.membership.setOwnState(state);
     await this.gossip.announce(state === 'serving' ? MAX_UPDATE_RECIPIENTS : MAX_STATE_RECIPIENTS);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -527,6 +527,7 @@
       replica: this.#replica,
       fleet: this.#fleet,
       socket: this.#fleetSocket,
+      onStranger: (address) => this.#fleet.askForMembers(address),
       onCutOffChange: () => this.#announceCapacity(),
     });
   }
@@ -535,6 +536,7 @@
     const socket = new FleetSocket({
       port: this.#settings.reports.port,
       onSent: (tag, address, bytes) => this.#recordSent(PURPOSE_BY_TAG[tag], address, bytes),
+      onReceived: (address) => this.#keyLease.recordSender(address),
       onFault: (reason) => this.#log.warn('datagram-fault', { reason }),
     });
     const inbox = new ReportInbox((report) => this.#services.applyReport(report));
--- a/packages/gateway/src/key-lease/fleet-key-lease.ts
+++ b/packages/gateway/src/key-lease/fleet-key-lease.ts
@@ -47,7 +47,9 @@
   readonly isStrict: boolean;
   readonly revocationMs: number;
   readonly replica: Replica;
-  readonly fleet: Pick<FleetLinks, 'isDispatcher'>;
+  readonly fleet: Pick<FleetLinks, 'isDispatcher' | 'membership'>;
+  /** Called when a daemon that is no known member is first heard, before there is a lease. */
+  readonly onStranger: (address: string) => void;
   readonly socket: Pick<FleetSocket, 'setHandler' | 'send'>;
   /** Called when the lease is lost or nearly, unlike those of other daemons, and when that ends. */
   readonly onCutOffChange: () => void;
@@ -61,8 +63,13 @@
 const MIN_TIMER_MS = 5;
 const MAX_TIMER_MS = 200;
 
+/** Time after which a daemon that is still unknown is waited for no longer. */
+const STRANGER_MS = 2000;
+
 type Accounts = Pick<RouteTable, 'accounts'>;
 
+type OpenQuestion = { readonly nonce: number; readonly isAnswered: boolean };
+
 export class FleetKeyLease {
   /** Whether this daemon may rely on the keys that it knows. */
   readonly validity: KeyValidity;
@@ -85,7 +92,10 @@
   #isCutOff = false;
 
   /** Last questions that came before this daemon had a lease, by the address of the daemon that asked. */
-  readonly #openQuestions = new Map<string, number>();
+  readonly #openQuestions = new Map<string, OpenQuestion>();
+
+  /** When daemons were last heard that are no known members, by address. */
+  readonly #strangers = new Map<string, number>();
 
   /** The last answers of daemons that have not said how they decode records, by address. */
   readonly #heldAnswers = new Map<string, LeaseAnswer>();
@@ -128,6 +138,13 @@
     return !this.isNeeded || this.#renewal.hasProof;
   }
 
+  /** Whether it has not been shown yet that a configuration is the newest, where that matters. */
+  get isWaitingForProof(): boolean {
+    const { isStrict, replica } = this.#dependencies;
+    const mayBeNeeded = this.isNeeded || replica.configuration === undefined;
+    return isStrict && mayBeNeeded && !this.#renewal.hasProof;
+  }
+
   /** Age of the lease in milliseconds; 0 if none is needed. */
   get ageMs(): number {
     return this.isNeeded ? this.#lease.ageMs : 0;
@@ -245,16 +262,39 @@
   #answer(nonce: number, sender: string): void {
     const answer = this.#renewal.buildAnswer(nonce);
     const isOpen = !this.#renewal.hasProof && this.#openQuestions.size < MAX_OPEN_QUESTIONS;
-    if (isOpen) this.#openQuestions.set(sender, nonce);
+    if (isOpen) this.#openQuestions.set(sender, { nonce, isAnswered: answer !== undefined });
+    if (!answer) return;
     this.#dependencies.socket.send('lease-answer', formatLeaseAnswer(answer), sender);
   }
 
-  /** Answers those again that were told that there is no lease yet; they wait for it to start. */
+  /** Answers those that have no answer yet, or were told that there is no lease; they wait for one. */
   #answerAgain(): void {
-    if (!this.#renewal.hasProof) return;
-    const open = [...this.#openQuestions];
-    this.#openQuestions.clear();
-    open.forEach(([sender, nonce]) => this.#answer(nonce, sender));
+    const { hasProof } = this.#renewal;
+    const due = [...this.#openQuestions].filter(([, { isAnswered }]) => hasProof || !isAnswered);
+    if (hasProof) this.#openQuestions.clear();
+    due.forEach(([sender, { nonce }]) => this.#answer(nonce, sender));
+  }
+
+  /** Records a datagram of any kind. A daemon that this one does not know may know more than it. */
+  recordSender(address: string): void {
+    if (!this.isWaitingForProof || this.#isKnown(address)) return;
+    if (this.#strangers.size >= MAX_OPEN_QUESTIONS) return;
+    if (!this.#strangers.has(address)) this.#dependencies.onStranger(address);
+    this.#strangers.set(address, this.#clock.now());
+  }
+
+  #isKnown(address: string): boolean {
+    return this.#dependencies.fleet.membership.members
+      .list()
+      .some((member) => member.address === address);
+  }
+
+  #hasStranger(): boolean {
+    const oldest = this.#clock.now() - STRANGER_MS;
+    [...this.#strangers]
+      .filter(([address, at]) => at < oldest || this.#isKnown(address))
+      .forEach(([address]) => this.#strangers.delete(address));
+    return this.#strangers.size > 0;
   }
 
   #listSources(): LeaseSources {
@@ -276,6 +316,7 @@
       lease: this.#lease,
       isDispatcher: () => fleet.isDispatcher,
       listSources: () => this.#listSources(),
+      hasStranger: () => this.#hasStranger(),
       getConfiguration: () =>
         this.#dependencies.isStrict ? replica.configurationPosition : undefined,
       hasConfiguration: (position) => replica.hasConfiguration(position),
--- a/packages/gateway/src/record-sync/simulated-record-fleet.ts
+++ b/packages/gateway/src/record-sync/simulated-record-fleet.ts
@@ -228,8 +228,9 @@
       replica,
       ranks,
       isSource: (address) => find().exchange.isSource(address),
-      fleet: { isDispatcher: false },
+      fleet: { isDispatcher: false, membership },
       socket,
+      onStranger: () => undefined,
       onCutOffChange: () => undefined,
     });
     const exchange = new RecordExchange({
