Ask others before the first read counts, however late it comes

The time after which sources that never answer are waited for no longer was counted from the start of the daemon. It is counted from the read now; a test for it failed before.

--- a/packages/core/src/key-lease/read-corroboration.test.ts
+++ b/packages/core/src/key-lease/read-corroboration.test.ts
@@ -75,6 +75,19 @@
     expect([corroboration.hasListened, isProvenBy([])]).to.deep.equal([true, true]);
   });
 
+  it('is waited for though the store was away for long when the daemon started', () => {
+    const started = new ReadCorroboration(
+      { now: () => now },
+      () => sources,
+      () => hasStranger,
+    );
+    now = 60_000;
+    started.acceptRead(ERA, READ);
+    expect(started.takeProvenRead()).to.equal(undefined);
+    started.recordAnswer('near', now, ERA);
+    expect(started.takeProvenRead()).to.equal(READ);
+  });
+
   it('is not waited for without end, and not at once without any other daemon', () => {
     now = 9900;
     expect(isProvenBy([])).to.equal(false);
--- a/packages/core/src/key-lease/read-corroboration.ts
+++ b/packages/core/src/key-lease/read-corroboration.ts
@@ -89,7 +89,7 @@
   /** When the wait may end without a further answer; undefined if it can't. */
   get endsAt(): number | undefined {
     if (!this.#wait || this.#wait.hasWitness) return undefined;
-    const endsAt = this.#wait.since + this.#firstDaemonMs;
+    const endsAt = this.#getListeningSince(this.#wait) + this.#firstDaemonMs;
     return endsAt > this.#clock.now() ? endsAt : undefined;
   }
 
@@ -143,16 +143,22 @@
   }
 
   #createWait(era: number, read: OwnRead): Wait {
-    const since = this.#provenEra === undefined ? this.#startedAt : this.#clock.now();
-    return { era, since, heard: new Set(), hasWitness: false, read };
+    return { era, since: this.#clock.now(), heard: new Set(), hasWitness: false, read };
   }
 
-  #hasHeardAll({ since, heard, hasWitness }: Wait): boolean {
-    const waitedMs = this.#clock.now() - since;
-    if (waitedMs >= MAX_WAIT_MS) return true;
+  /** A daemon that has just started hears of others before its first read. */
+  #getListeningSince({ since }: Wait): number {
+    return this.#provenEra === undefined ? this.#startedAt : since;
+  }
+
+  #hasHeardAll(wait: Wait): boolean {
+    const { since, heard, hasWitness } = wait;
+    const now = this.#clock.now();
+    if (now - since >= MAX_WAIT_MS) return true;
+    const listenedMs = now - this.#getListeningSince(wait);
     const { nearReaders, nearOthers, farReaders } = this.#listSources();
     const near = [...nearReaders, ...nearOthers];
-    if (!hasWitness && (waitedMs < this.#firstDaemonMs || this.#hasStranger())) return false;
+    if (!hasWitness && (listenedMs < this.#firstDaemonMs || this.#hasStranger())) return false;
     const nearHeard = near.filter(({ id }) => heard.has(id)).length;
     const hasFar = farReaders.every(({ id }) => heard.has(id));
     return hasFar && nearHeard >= Math.min(MIN_NEAR_ANSWERS, near.length);
